--- /dev/null
+++ b/src/bookkeeping/jobs.c
@@ -0,0 +1,369 @@
+#include "bookkeeping/jobs.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct fl_job *fl_job_find(const struct fl_books *b, const char *ref)
+{
+	struct fl_job *j;
+
+	HASH_FIND_STR(b->jobs, ref, j);
+	return j;
+}
+
+struct fl_final *fl_final_find(const struct fl_books *b, const char *ref)
+{
+	struct fl_final *f;
+
+	HASH_FIND_STR(b->finals, ref, f);
+	return f;
+}
+
+void fl_final_add(struct fl_books *b, const char *ref, enum fl_status status, uint32_t parts)
+{
+	struct fl_final *f = fl_final_find(b, ref);
+
+	if (f)
+		return; /* a final state never changes */
+	f = calloc(1, sizeof(*f));
+	if (!f)
+		return;
+	strcpy(f->ref, ref);
+	f->status = (uint8_t)status;
+	f->parts = parts;
+	HASH_ADD_STR(b->finals, ref, f);
+}
+
+static uint32_t kinds_mask(const struct fl_books *b, const struct fl_run *run)
+{
+	uint32_t mask = 0;
+
+	if (run->n_host_kinds < 0)
+		return UINT32_MAX;
+	for (int i = 0; i < run->n_host_kinds; i++) {
+		int k = fl_kind_find(&b->machines, run->host_kinds[i]);
+
+		if (k >= 0)
+			mask |= 1u << k;
+	}
+	return mask;
+}
+
+struct fl_job *fl_job_add(struct fl_books *b, const struct fl_run *run, double submitted,
+			  uint64_t rev)
+{
+	struct fl_job *j = fl_job_find(b, run->ref);
+	int owner = fl_teams_find(&b->teams, run->owner);
+
+	if (j || owner < 0)
+		return j;
+	j = calloc(1, sizeof(*j));
+	if (!j)
+		return NULL;
+	strcpy(j->ref, run->ref);
+	j->job_class = fl_names_add(&b->classes, run->job_class);
+	j->bundle = fl_names_add(&b->bundles, run->bundle);
+	j->owner = owner;
+	j->site = run->has_site ? fl_names_find(&b->zones, run->site) : -1;
+	j->kind = run->kind;
+	j->tier = run->tier;
+	j->parts = run->parts;
+	j->cpus = run->cpus;
+	j->gpus = run->gpus;
+	j->ram_gb = run->ram_gb;
+	j->image_gb = run->image_gb;
+	j->expected_s = run->expected_s;
+	j->snapshot_every_s = run->snapshot_every_s;
+	j->snapshot_cost_s = run->snapshot_cost_s;
+	j->due_s = run->due_s;
+	j->kinds = kinds_mask(b, run);
+	j->together = run->together;
+	j->apart = run->apart;
+	j->reclaimable = run->reclaimable;
+	j->submitted = submitted;
+	j->rev = rev;
+	j->n_waiting = run->parts;
+	j->n_chunks = (run->parts + FL_CHUNK - 1) / FL_CHUNK;
+	HASH_ADD_STR(b->jobs, ref, j);
+	return j;
+}
+
+static void free_chunks(struct fl_job *j)
+{
+	for (uint32_t i = 0; j->chunks && i < j->n_chunks; i++)
+		free(j->chunks[i]);
+	free(j->chunks);
+	j->chunks = NULL;
+}
+
+static void unlink_dirty(struct fl_books *b, struct fl_job *job)
+{
+	struct fl_job **at = &b->dirty;
+
+	while (*at && *at != job)
+		at = &(*at)->next_dirty;
+	if (*at)
+		*at = job->next_dirty;
+	job->queued_dirty = false;
+}
+
+void fl_job_finalise(struct fl_books *b, struct fl_job *job, enum fl_status status)
+{
+	fl_final_add(b, job->ref, status, job->parts);
+	unlink_dirty(b, job);
+	HASH_DEL(b->jobs, job);
+	free_chunks(job);
+	free(job);
+}
+
+struct fl_task *fl_task_peek(const struct fl_job *job, uint32_t index)
+{
+	struct fl_chunk *c = job->chunks ? job->chunks[index / FL_CHUNK] : NULL;
+
+	return c ? &c->task[index % FL_CHUNK] : NULL;
+}
+
+struct fl_task *fl_task_get(struct fl_job *job, uint32_t index)
+{
+	struct fl_chunk **c;
+
+	if (!job->chunks)
+		job->chunks = calloc(job->n_chunks, sizeof(*job->chunks));
+	if (!job->chunks)
+		return NULL;
+	c = &job->chunks[index / FL_CHUNK];
+	if (!*c)
+		*c = calloc(1, sizeof(**c));
+	return *c ? &(*c)->task[index % FL_CHUNK] : NULL;
+}
+
+bool fl_task_durable(const struct fl_job *job, uint32_t index)
+{
+	const struct fl_chunk *c = job->chunks ? job->chunks[index / FL_CHUNK] : NULL;
+
+	return !c || c->task[index % FL_CHUNK].gen <= c->saved_gen;
+}
+
+void fl_task_touch(struct fl_books *b, struct fl_job *job, uint32_t index)
+{
+	struct fl_chunk *c = job->chunks[index / FL_CHUNK];
+
+	c->task[index % FL_CHUNK].gen = ++c->gen;
+	if (job->queued_dirty)
+		return;
+	job->queued_dirty = true;
+	job->next_dirty = b->dirty;
+	b->dirty = job;
+}
+
+uint32_t fl_task_next_waiting(struct fl_job *job, uint32_t from, double now)
+{
+	uint32_t i = from > job->scan_from ? from : job->scan_from;
+	bool lowest = i == job->scan_from;
+
+	for (; i < job->parts; i++) {
+		const struct fl_task *t = fl_task_peek(job, i);
+
+		if (t && t->phase != FL_TASK_WAITING) {
+			if (lowest)
+				job->scan_from = i + 1;
+			continue;
+		}
+		lowest = false;
+		if (!t || t->not_before <= now)
+			return i;
+	}
+	return job->parts;
+}
+
+static int occupy(struct fl_books *b, struct fl_job *job, uint32_t index, struct fl_machine *m)
+{
+	struct fl_team *team = &b->teams.at[job->owner];
+
+	if (fl_machine_add_slot(m, job, index) != 0)
+		return -1;
+	m->used_cpus += job->cpus;
+	m->used_gpus += job->gpus;
+	m->used_ram += job->ram_gb;
+	team->used_cpus += job->cpus;
+	team->used_gpus += job->gpus;
+	if (m->zone >= 0)
+		job->zone_placed[m->zone]++;
+	else
+		job->zone_unknown++;
+	job->n_placed++;
+	return 0;
+}
+
+static void vacate(struct fl_books *b, struct fl_job *job, uint32_t index, struct fl_task *t)
+{
+	struct fl_machine *m = b->machines.at[t->machine];
+	struct fl_team *team = &b->teams.at[job->owner];
+
+	fl_machine_drop_slot(m, job, index);
+	m->used_cpus -= job->cpus;
+	m->used_gpus -= job->gpus;
+	m->used_ram -= job->ram_gb;
+	if (m->n_slots == 0)
+		m->used_cpus = m->used_gpus = m->used_ram = 0;
+	team->used_cpus -= job->cpus;
+	team->used_gpus -= job->gpus;
+	if (m->zone >= 0)
+		job->zone_placed[m->zone]--;
+	else
+		job->zone_unknown--;
+	job->n_placed--;
+	if (t->sight == FL_SEEN_RUNNING || t->sight == FL_SEEN_FLUSHING)
+		job->n_running--;
+	t->sight = FL_UNSEEN;
+	t->stop = FL_STOP_NONE;
+	t->machine = -1;
+	t->sent_serial = 0;
+	t->epoch = 0;
+}
+
+int fl_task_place(struct fl_books *b, struct fl_job *job, uint32_t index, struct fl_machine *m,
+		  uint64_t epoch, double now)
+{
+	struct fl_task *t = fl_task_get(job, index);
+
+	if (!t || t->phase != FL_TASK_WAITING || occupy(b, job, index, m) != 0)
+		return -1;
+	t->phase = FL_TASK_PLACED;
+	t->attempt++;
+	t->machine = m->id;
+	t->tenure = m->tenure;
+	t->epoch = epoch;
+	t->sent_serial = 0;
+	t->sight = FL_UNSEEN;
+	t->stop = FL_STOP_NONE;
+	t->since = now;
+	job->n_waiting--;
+	fl_task_touch(b, job, index);
+	return 0;
+}
+
+int fl_task_restore(struct fl_books *b, struct fl_job *job, uint32_t index, uint32_t attempt,
+		    struct fl_machine *m, uint64_t tenure, double now)
+{
+	struct fl_task *t = fl_task_get(job, index);
+
+	if (!t || t->phase != FL_TASK_WAITING || occupy(b, job, index, m) != 0)
+		return -1;
+	t->phase = FL_TASK_PLACED;
+	t->attempt = attempt;
+	t->machine = m->id;
+	t->tenure = tenure;
+	t->since = now;
+	job->n_waiting--;
+	return 0;
+}
+
+void fl_task_release(struct fl_books *b, struct fl_job *job, uint32_t index, double not_before)
+{
+	struct fl_task *t = fl_task_peek(job, index);
+
+	if (!t || t->phase != FL_TASK_PLACED)
+		return;
+	vacate(b, job, index, t);
+	t->phase = FL_TASK_WAITING;
+	t->not_before = not_before;
+	job->n_waiting++;
+	if (index < job->scan_from)
+		job->scan_from = index;
+	fl_task_touch(b, job, index);
+}
+
+void fl_task_done(struct fl_books *b, struct fl_job *job, uint32_t index)
+{
+	struct fl_task *t = fl_task_get(job, index);
+
+	if (!t || t->phase == FL_TASK_DONE)
+		return;
+	if (t->phase == FL_TASK_PLACED)
+		vacate(b, job, index, t);
+	else
+		job->n_waiting--;
+	t->phase = FL_TASK_DONE;
+	job->n_done++;
+	fl_task_touch(b, job, index);
+}
+
+void fl_task_sighted(struct fl_job *job, struct fl_task *t, enum fl_sight sight, double now)
+{
+	bool was = t->sight == FL_SEEN_RUNNING || t->sight == FL_SEEN_FLUSHING;
+	bool is = sight == FL_SEEN_RUNNING || sight == FL_SEEN_FLUSHING;
+
+	if (is && !was) {
+		job->n_running++;
+		t->since = now;
+	} else if (was && !is) {
+		job->n_running--;
+	}
+	t->sight = (uint8_t)sight;
+}
+
+void fl_books_describe(struct fl_books *b, struct fl_machine *m, int kind, int zone, bool spot,
+		       const char *endpoint)
+{
+	bool was_known = m->zone >= 0;
+
+	(void)b;
+	if (zone >= FL_ZONES_MAX)
+		return;
+	fl_machine_describe(m, kind, zone, spot, endpoint);
+	if (was_known || m->zone < 0)
+		return;
+	for (int i = 0; i < m->n_slots; i++) {
+		m->slots[i].job->zone_unknown--;
+		m->slots[i].job->zone_placed[m->zone]++;
+	}
+}
+
+enum fl_status fl_job_status(const struct fl_job *job)
+{
+	if (job->aborted)
+		return FL_ABORTED;
+	return job->n_running > 0 ? FL_RUNNING : FL_PENDING;
+}
+
+void fl_books_forget_tasks(struct fl_books *b)
+{
+	struct fl_job *j, *tmp;
+
+	HASH_ITER(hh, b->jobs, j, tmp) {
+		free_chunks(j);
+		j->n_waiting = j->parts;
+		j->n_placed = j->n_running = j->n_done = 0;
+		memset(j->zone_placed, 0, sizeof(j->zone_placed));
+		j->zone_unknown = j->scan_from = 0;
+		j->queued_dirty = j->finishing = j->unsure = false;
+		j->not_before = j->window_until = 0;
+		if (j->aborted)
+			fl_job_finalise(b, j, FL_ABORTED);
+	}
+	b->dirty = NULL;
+	for (int i = 0; i < b->teams.n; i++)
+		b->teams.at[i].used_cpus = b->teams.at[i].used_gpus = 0;
+	fl_machines_clear(&b->machines);
+}
+
+void fl_books_free(struct fl_books *b)
+{
+	struct fl_final *f, *ftmp;
+	struct fl_job *j, *jtmp;
+
+	HASH_ITER(hh, b->jobs, j, jtmp) {
+		HASH_DEL(b->jobs, j);
+		free_chunks(j);
+		free(j);
+	}
+	HASH_ITER(hh, b->finals, f, ftmp) {
+		HASH_DEL(b->finals, f);
+		free(f);
+	}
+	fl_machines_clear(&b->machines);
+	fl_names_free(&b->classes);
+	fl_names_free(&b->bundles);
+	fl_names_free(&b->zones);
+}
--- /dev/null
+++ b/src/bookkeeping/jobs.h
@@ -0,0 +1,124 @@
+/*
+ * Jobs and their tasks. The one table that the rules rest on is here: a task that is PLACED may
+ * be on its machine, and counts against team, machine and zone until it is proven not to be.
+ */
+#ifndef FL_BOOKKEEPING_JOBS_H
+#define FL_BOOKKEEPING_JOBS_H
+
+#include <uthash.h>
+
+#include "bookkeeping/machines.h"
+#include "bookkeeping/teams.h"
+#include "protocol/users.h"
+
+enum { FL_CHUNK = 64 }; /* tasks in one record: stays well within 4 KiB a value */
+
+enum fl_phase { FL_TASK_WAITING, FL_TASK_PLACED, FL_TASK_DONE };
+enum fl_sight { FL_UNSEEN, FL_SEEN_PULLING, FL_SEEN_RUNNING, FL_SEEN_FLUSHING };
+enum fl_stop { FL_STOP_NONE, FL_STOP_PREEMPT, FL_STOP_DRAIN };
+
+struct fl_task {
+	uint8_t phase, sight, stop, fails;
+	uint32_t attempt; /* the last one used; 0: none yet */
+	int32_t machine;  /* id, while PLACED */
+	uint64_t tenure;  /* of the machine, at placement */
+	uint64_t epoch;   /* in which this leader placed it; 0: read from a record */
+	uint64_t sent_serial; /* the report in whose answer the launch last went out; 0: none */
+	uint64_t gen;     /* of the chunk, when this task last changed */
+	double since;     /* placed; or, when running, began to run */
+	double not_before; /* WAITING: backoff */
+};
+
+struct fl_chunk {
+	struct fl_task task[FL_CHUNK];
+	uint64_t gen, saved_gen; /* a change is durable once saved_gen has reached its gen */
+	uint64_t rev;            /* KeyRev of the record; 0: none */
+	bool rev_unknown;        /* a write went unanswered: read before writing again */
+};
+
+struct fl_job {
+	UT_hash_handle hh;
+	char ref[FL_REF_MAX];
+	int job_class, owner, bundle, site; /* site -1: any */
+	enum fl_job_kind kind;
+	enum fl_tier tier;
+	uint32_t parts;
+	double cpus, gpus, ram_gb, image_gb, expected_s, snapshot_every_s, snapshot_cost_s, due_s;
+	uint32_t kinds; /* bit per allowed machine type */
+	bool together, apart, reclaimable;
+	double submitted;  /* wall time */
+	uint64_t rev;      /* KeyRev of the job record */
+	bool aborted;      /* its final record says so; tasks may still have to go */
+	double aborted_at; /* steady */
+	bool finishing;    /* its final record is being written */
+	bool unsure;       /* a final write went unanswered: only the record knows */
+	uint32_t n_waiting, n_placed, n_running, n_done;
+	uint32_t zone_placed[FL_ZONES_MAX];
+	uint32_t zone_unknown; /* placed on machines whose zone is not known yet */
+	uint32_t scan_from; /* no task below it is WAITING */
+	uint32_t n_chunks;
+	struct fl_chunk **chunks; /* NULL entry: all its tasks wait and never ran */
+	double not_before;  /* job-wide backoff after faults on several machines */
+	uint32_t strikes;   /* error exits in a row, on any machine */
+	double window_until; /* steady; backfill window while this job is the top one; 0: not set */
+	bool queued_dirty;
+	struct fl_job *next_dirty;
+};
+
+/* What is kept for ever of a job that is over. */
+struct fl_final {
+	UT_hash_handle hh;
+	char ref[FL_REF_MAX];
+	uint8_t status; /* fl_status */
+	uint32_t parts;
+};
+
+struct fl_books {
+	struct fl_names classes, bundles, zones;
+	struct fl_teams teams;
+	struct fl_machines machines;
+	struct fl_job *jobs;     /* live, by ref */
+	struct fl_final *finals; /* by ref */
+	struct fl_job *dirty;    /* jobs with unsaved chunks */
+	bool leading;            /* tasks and machines are held here, not only descriptions */
+};
+
+struct fl_job *fl_job_find(const struct fl_books *b, const char *ref);
+struct fl_final *fl_final_find(const struct fl_books *b, const char *ref);
+/* Adds a live job from its description; NULL if it cannot be read here (unknown team). */
+struct fl_job *fl_job_add(struct fl_books *b, const struct fl_run *run, double submitted,
+			  uint64_t rev);
+/* Turns a live job into its final state; its tasks must hold no machine. */
+void fl_job_finalise(struct fl_books *b, struct fl_job *job, enum fl_status status);
+void fl_final_add(struct fl_books *b, const char *ref, enum fl_status status, uint32_t parts);
+
+struct fl_task *fl_task_get(struct fl_job *job, uint32_t index);
+/* The task if its chunk exists, else NULL (it waits and never ran). */
+struct fl_task *fl_task_peek(const struct fl_job *job, uint32_t index);
+bool fl_task_durable(const struct fl_job *job, uint32_t index);
+/* Marks the chunk as changed and the job as dirty. */
+void fl_task_touch(struct fl_books *b, struct fl_job *job, uint32_t index);
+/* Next WAITING task at or after `from` that may start at `now`; parts if none. */
+uint32_t fl_task_next_waiting(struct fl_job *job, uint32_t from, double now);
+
+/* WAITING -> PLACED with a new attempt. */
+int fl_task_place(struct fl_books *b, struct fl_job *job, uint32_t index, struct fl_machine *m,
+		  uint64_t epoch, double now);
+/* Puts an attempt read from a record on its machine. */
+int fl_task_restore(struct fl_books *b, struct fl_job *job, uint32_t index, uint32_t attempt,
+		    struct fl_machine *m, uint64_t tenure, double now);
+/* PLACED -> WAITING: the attempt is proven not to be on its machine. */
+void fl_task_release(struct fl_books *b, struct fl_job *job, uint32_t index, double not_before);
+/* Any -> DONE. */
+void fl_task_done(struct fl_books *b, struct fl_job *job, uint32_t index);
+void fl_task_sighted(struct fl_job *job, struct fl_task *t, enum fl_sight sight, double now);
+
+/* A machine's place becomes known: its attempts now count in their zone. */
+void fl_books_describe(struct fl_books *b, struct fl_machine *m, int kind, int zone, bool spot,
+		       const char *endpoint);
+enum fl_status fl_job_status(const struct fl_job *job);
+/* Everything that only a leader knows goes: tasks, machines, usage. */
+void fl_books_forget_tasks(struct fl_books *b);
+void fl_books_free(struct fl_books *b);
+
+#endif
--- /dev/null
+++ b/src/bookkeeping/ledger.h
@@ -0,0 +1,55 @@
+/* Records in the state service: their keys, their shape, and the budget of writes. */
+#ifndef FL_BOOKKEEPING_LEDGER_H
+#define FL_BOOKKEEPING_LEDGER_H
+
+#include "bookkeeping/jobs.h"
+#include "protocol/state.h"
+
+#define FL_KEY_LEAD "c/lead"
+#define FL_KEY_EPOCH "c/epoch"
+#define FL_PREFIX_CONTROL "c/"
+#define FL_PREFIX_JOBS "j/"
+#define FL_PREFIX_PROGRESS "p/"
+#define FL_PREFIX_KEPT "k/"
+
+void fl_key_job(char key[FL_KEY_MAX], const char *ref);
+void fl_key_chunk(char key[FL_KEY_MAX], const char *ref, uint32_t chunk);
+/* "p/run-000412/3" taken apart. */
+int fl_key_chunk_parse(const char *key, char ref[FL_REF_MAX], uint32_t *chunk);
+
+/* A job record: either the description or the final state. */
+struct fl_job_record {
+	bool final;
+	enum fl_status status; /* when final */
+	uint32_t parts;
+	bool has_run;      /* a cancelled job keeps its description until its tasks are gone */
+	struct fl_run run;
+	double submitted;
+};
+
+cJSON *fl_job_record_live(const struct fl_run *run, double submitted);
+cJSON *fl_job_record_final(enum fl_status status, uint32_t parts, const struct fl_run *run,
+			   double submitted);
+void fl_job_describe(const struct fl_books *b, const struct fl_job *job, struct fl_run *out);
+int fl_job_record_decode(const cJSON *v, struct fl_job_record *out);
+/* Takes a change of a job record into the books; returns the live job, if it is one. */
+struct fl_job *fl_books_apply(struct fl_books *b, const char *ref, const cJSON *value,
+			      uint64_t rev);
+
+cJSON *fl_chunk_encode(const struct fl_books *b, const struct fl_job *job, uint32_t chunk);
+/* Reads a progress record into tasks and machines; machines not known yet are added. */
+int fl_chunk_restore(struct fl_books *b, struct fl_job *job, uint32_t chunk, const cJSON *v,
+		     uint64_t rev, double now);
+/* Counts of a progress record, for a node that does not lead. */
+int fl_chunk_count(const cJSON *v, uint32_t *done, uint32_t *placed);
+
+/* A token bucket in records a second. */
+struct fl_budget {
+	double rate, burst, have, at;
+};
+
+void fl_budget_init(struct fl_budget *b, double rate, double burst, double now);
+/* Seconds to wait before `n` may be spent; 0 spends them. */
+double fl_budget_take(struct fl_budget *b, double n, double now);
+
+#endif
--- /dev/null
+++ b/src/bookkeeping/machines.h
@@ -0,0 +1,76 @@
+/* Machine types and machines, with every attempt that may be on each. */
+#ifndef FL_BOOKKEEPING_MACHINES_H
+#define FL_BOOKKEEPING_MACHINES_H
+
+#include <uthash.h>
+
+#include "bookkeeping/names.h"
+#include "protocol/cloud.h"
+
+enum { FL_KINDS_KNOWN_MAX = 32, FL_ZONES_MAX = 8, FL_CACHE_NOTE = 16 };
+
+struct fl_kind {
+	char name[FL_NAME_MAX];
+	double cpus, gpus, ram_gb, cache_gb, pull_gb_s, price, spot_price, ready_s;
+	uint32_t zones; /* bit per zone index */
+};
+
+struct fl_job;
+
+struct fl_slot {
+	struct fl_job *job;
+	uint32_t index;
+};
+
+struct fl_machine {
+	UT_hash_handle hh;
+	char name[FL_NAME_MAX], endpoint[FL_NAME_MAX];
+	int id; /* dense, stable while the machine is known */
+	int kind, zone;
+	bool spot;
+	bool described;  /* kind, zone and endpoint are known */
+	bool up;         /* has reported to this leader */
+	bool deleting;   /* is to be returned; nothing more is placed here */
+	bool returned;   /* the cloud has taken it back */
+	bool listed;     /* was in the list being read */
+	bool gone;       /* proven gone: a tombstone against late reports */
+	bool pushing;    /* a direct command is under way */
+	bool want_push;  /* something for a direct command has come up */
+	uint64_t tenure, serial, epoch; /* of the newest report */
+	uint64_t direct_epoch;          /* highest epoch of a direct launch sent here; 0: none */
+	double heard;       /* steady time of the newest report */
+	double created;     /* steady time of rental or first sight */
+	double idle_since;  /* 0: not idle */
+	double reclaim_at;  /* 0: no notice */
+	double avoid_until; /* faults seen: nothing is placed before */
+	int faults;
+	int foreign;        /* reported tasks that no record accounts for */
+	struct fl_slot *slots; /* attempts that may be on the machine */
+	int n_slots, cap_slots;
+	double used_cpus, used_gpus, used_ram;
+	int cache[FL_CACHE_NOTE]; /* bundles lately here, newest first; -1: none */
+	double speed;       /* running mean of finished time to estimate; 0: unknown */
+};
+
+struct fl_machines {
+	struct fl_kind kinds[FL_KINDS_KNOWN_MAX];
+	int n_kinds;
+	struct fl_machine *table;
+	struct fl_machine **at; /* by id, with NULL where a tombstone was dropped */
+	int n, cap;
+};
+
+int fl_kind_find(const struct fl_machines *ms, const char *name);
+/* Replaces what is known of the kinds; indices of known names stay. */
+void fl_kinds_set(struct fl_machines *ms, const struct fl_names *zones,
+		  const struct fl_host_kind *kinds, int n);
+struct fl_machine *fl_machine_find(const struct fl_machines *ms, const char *name);
+struct fl_machine *fl_machine_get(struct fl_machines *ms, const char *name, double now);
+void fl_machine_describe(struct fl_machine *m, int kind, int zone, bool spot, const char *endpoint);
+int fl_machine_add_slot(struct fl_machine *m, struct fl_job *job, uint32_t index);
+void fl_machine_drop_slot(struct fl_machine *m, const struct fl_job *job, uint32_t index);
+void fl_machine_note_bundle(struct fl_machine *m, int bundle);
+bool fl_machine_has_bundle(const struct fl_machine *m, int bundle);
+void fl_machines_clear(struct fl_machines *ms);
+
+#endif
--- /dev/null
+++ b/src/bookkeeping/teams.h
@@ -0,0 +1,27 @@
+/* Teams: guarantees, limits, and what their tasks may be using right now. */
+#ifndef FL_BOOKKEEPING_TEAMS_H
+#define FL_BOOKKEEPING_TEAMS_H
+
+#include <stdbool.h>
+
+enum { FL_TEAMS_MAX = 64 };
+
+struct fl_team {
+	char name[64];
+	double cpus, gpus;         /* guaranteed; 0: none */
+	double cpus_max, gpus_max; /* limit; 0: none */
+	double used_cpus, used_gpus;
+};
+
+struct fl_teams {
+	struct fl_team at[FL_TEAMS_MAX];
+	int n;
+};
+
+int fl_teams_find(const struct fl_teams *teams, const char *name);
+/* Would the team stay within its limit with this much in use? */
+bool fl_team_within_max(const struct fl_team *t, double cpus, double gpus);
+/* Does this much fit into what the team is guaranteed? A team with no guarantee has none. */
+bool fl_team_within_guarantee(const struct fl_team *t, double cpus, double gpus);
+
+#endif
--- /dev/null
+++ b/src/config.h
@@ -0,0 +1,48 @@
+/* The platform's settings file, checked. */
+#ifndef FL_CONFIG_H
+#define FL_CONFIG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+enum { FL_CONFIG_NAME = 64, FL_CONFIG_PEERS = 16, FL_CONFIG_ZONES = 8, FL_CONFIG_TEAMS = 64,
+       FL_CONFIG_OBJECTIVES = 64 };
+
+struct fl_config_peer {
+	char node[FL_CONFIG_NAME], location[FL_CONFIG_NAME], addr[FL_CONFIG_NAME];
+};
+
+struct fl_config_team {
+	char name[FL_CONFIG_NAME];
+	double cpus, cpus_max, gpus, gpus_max;
+};
+
+struct fl_config_objective {
+	char kind[FL_CONFIG_NAME], job_class[FL_CONFIG_NAME];
+	double within_s, share;
+};
+
+struct fl_config {
+	char node[FL_CONFIG_NAME], location[FL_CONFIG_NAME];
+	char bind[FL_CONFIG_NAME], cluster_listen[FL_CONFIG_NAME];
+	char cloud[FL_CONFIG_NAME], state[FL_CONFIG_NAME];
+	struct fl_config_peer peers[FL_CONFIG_PEERS];
+	int n_peers;
+	char zones[FL_CONFIG_ZONES][FL_CONFIG_NAME];
+	int n_zones;
+	struct fl_config_team teams[FL_CONFIG_TEAMS];
+	int n_teams;
+	struct fl_config_objective objectives[FL_CONFIG_OBJECTIVES];
+	int n_objectives;
+	double report_s, lease_s, cancel_s;
+	double state_rps, state_write_rps, value_kb;
+	int txn_ops;
+	double cloud_rps, list_lag_s;
+	double core_share, ram_mb;
+	int max_connections;
+};
+
+/* 0, or -1 with a message that names file, key and reason. */
+int fl_config_read(const char *path, struct fl_config *out, char *error, size_t cap);
+
+#endif
--- /dev/null
+++ b/src/coordination/keeper.c
@@ -0,0 +1,336 @@
+#include "coordination/keeper.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/node.h"
+#include "coordination/reconcile.h"
+#include "transport/clock.h"
+#include "transport/log.h"
+#include "transport/routine.h"
+
+static const struct {
+	double patience_s;  /* s for a report; the worker gives up after 4 */
+	double direct_s;    /* s of it for the straight way, if there is another */
+	double gossip_s;    /* s between two exchanges with each peer */
+	double gossip_wait_s; /* s; a link that takes longer counts as down */
+	double refresh_s;   /* s; least time between two reads for a fresher proof */
+	double digest_s;    /* s between two digests in the state service */
+	double margin_s;    /* s off the keeping time, for drift and late timers */
+	double record_use;  /* share of a value's limit that a digest fills */
+} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 2.0, 1.0, 0.85};
+
+static struct fl_peer *find_peer(struct fl_node *n, const char *name)
+{
+	for (int i = 0; i < n->n_peers; i++)
+		if (strcmp(n->peers[i].name, name) == 0)
+			return &n->peers[i];
+	return NULL;
+}
+
+static int relay_via(struct fl_peer *p, const char *text, double timeout_s, struct fl_reply *out)
+{
+	int rc;
+
+	if (timeout_s <= 0)
+		return -ETIMEDOUT;
+	rc = fl_http_call(&p->http, "POST", "/relay", text, timeout_s, out);
+	if (rc == 0 && out->status == 421) {
+		fl_buf_free(&out->body);
+		return -EHOSTUNREACH;
+	}
+	return rc;
+}
+
+int fl_relay(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
+	     bool last_hop, double patience_s, struct fl_reply *out)
+{
+	struct fl_peer *lead = find_peer(n, n->leader);
+	double until = fl_now() + patience_s;
+	int rc = -EHOSTUNREACH;
+	char *text;
+
+	if (!lead)
+		return rc;
+	if (lead->up || last_hop || n->n_peers == 1) {
+		text = fl_relay_encode(call, true, ref, body);
+		rc = relay_via(lead, text, last_hop ? patience_s : choice.direct_s, out);
+		free(text);
+	}
+	if (rc == 0 || last_hop)
+		return rc;
+	text = fl_relay_encode(call, false, ref, body);
+	for (int i = 0; i < n->n_peers && rc != 0; i++) {
+		struct fl_peer *p = &n->peers[i];
+
+		if (p != lead && p->up)
+			rc = relay_via(p, text, until - fl_now(), out);
+	}
+	free(text);
+	return rc;
+}
+
+static void keep(struct fl_node *n, const struct fl_report *r, const char *body)
+{
+	struct fl_kept *k;
+
+	HASH_FIND_STR(n->keeper.kept, r->host, k);
+	if (!k) {
+		k = calloc(1, sizeof(*k));
+		if (!k)
+			return;
+		strcpy(k->host, r->host);
+		HASH_ADD_STR(n->keeper.kept, host, k);
+	}
+	free(k->body);
+	k->body = strdup(body);
+	k->at = fl_now();
+}
+
+static void unkeep(struct fl_node *n, struct fl_kept *k)
+{
+	HASH_DEL(n->keeper.kept, k);
+	free(k->body);
+	free(k);
+}
+
+/*
+ * A cancellation is answered only after it is stored, so a proof read before it is at most this
+ * old when the last keeper refuses; then the worker's own lease ends the tasks within cancel_s.
+ */
+static double keep_s(const struct fl_node *n)
+{
+	const struct fl_config *c = n->config;
+
+	return c->cancel_s - c->lease_s - choice.margin_s;
+}
+
+static bool may_keep(struct fl_node *n, uint64_t epoch)
+{
+	double now = fl_now();
+
+	if ((n->epoch < epoch || now - n->proof_at > keep_s(n)) &&
+	    now > n->keeper.refreshed_at + choice.refresh_s) {
+		n->keeper.refreshed_at = now;
+		fl_lease_refresh(n);
+	}
+	/* Never a lower epoch: the worker would drop it and wait there until its lease ends. */
+	return n->epoch > 0 && n->epoch >= epoch && fl_now() - n->proof_at <= keep_s(n);
+}
+
+static void answer_kept(struct fl_node *n, const char *body, size_t len, struct fl_response *resp)
+{
+	struct fl_orders orders;
+	struct fl_report r;
+
+	if (fl_report_decode(body, len, &r) != 0) {
+		fl_refuse(resp, 400, "not a report");
+		return;
+	}
+	if (may_keep(n, r.epoch)) {
+		fl_orders_init(&orders, n->epoch);
+		resp->status = 200;
+		resp->body = fl_orders_take(&orders);
+		keep(n, &r, body);
+	} else {
+		fl_refuse(resp, 503, "no proof of the epoch");
+	}
+	fl_report_free(&r);
+}
+
+void fl_keeper_report(struct fl_node *n, const char *body, size_t len, bool last_hop,
+		      struct fl_response *resp)
+{
+	struct fl_reply reply;
+	struct fl_report r;
+
+	if (fl_lease_valid(n) && n->lead.active) {
+		struct fl_orders orders;
+
+		if (fl_report_decode(body, len, &r) != 0) {
+			fl_refuse(resp, 400, "not a report");
+			return;
+		}
+		fl_orders_init(&orders, n->lease.epoch);
+		if (fl_reconcile_report(n, &r, &orders) == 0) {
+			resp->status = 200;
+			resp->body = fl_orders_take(&orders);
+		} else {
+			cJSON_Delete(orders.root);
+			fl_refuse(resp, 503, "this machine is not known any more");
+		}
+		fl_report_free(&r);
+		return;
+	}
+	if (fl_relay(n, FL_CALL_REPORT, NULL, body, last_hop, choice.patience_s, &reply) == 0) {
+		if (reply.status == 200) {
+			resp->status = 200;
+			resp->body = reply.body.data;
+			return;
+		}
+		fl_buf_free(&reply.body);
+		if (last_hop) {
+			resp->status = 421;
+			return;
+		}
+	} else if (last_hop) {
+		resp->status = 421;
+		return;
+	}
+	answer_kept(n, body, len, resp);
+}
+
+static void hear(struct fl_node *n, const struct fl_gossip *g, double sent)
+{
+	double proof = sent - g->proof_age_s;
+
+	if (g->epoch < n->epoch || g->epoch == 0)
+		return;
+	/* A valid lease needs no hearsay: the higher epoch is its own, raised this moment. */
+	if (g->epoch > n->epoch && n->lease.held) {
+		if (fl_lease_valid(n) || strcmp(g->leader, n->config->node) == 0)
+			return;
+		fl_lease_lost(n, "a peer knows a higher epoch");
+	}
+	if (g->epoch > n->epoch || proof > n->proof_at) {
+		n->epoch = g->epoch;
+		if (g->leader[0])
+			strcpy(n->leader, g->leader);
+		if (proof > n->proof_at)
+			n->proof_at = proof;
+	}
+}
+
+static void say(struct fl_node *n, struct fl_gossip *g)
+{
+	memset(g, 0, sizeof(*g));
+	strcpy(g->node, n->config->node);
+	strcpy(g->leader, n->leader);
+	g->epoch = n->epoch;
+	g->proof_age_s = fl_now() - n->proof_at;
+	if (g->proof_age_s > 1e6)
+		g->proof_age_s = 1e6;
+	g->leads = fl_lease_valid(n);
+}
+
+void fl_keeper_gossip(struct fl_node *n, const char *body, size_t len, struct fl_response *resp)
+{
+	struct fl_gossip g;
+
+	if (fl_gossip_decode(body, len, &g) != 0) {
+		fl_refuse(resp, 400, "not gossip");
+		return;
+	}
+	/* No proof from here: a request may have been held back on its way for minutes. */
+	say(n, &g);
+	resp->status = 200;
+	resp->body = fl_gossip_encode(&g);
+}
+
+static void gossip_duty(void *arg)
+{
+	struct fl_peer *p = arg;
+	struct fl_node *n = p->owner;
+
+	while (fl_sleep(choice.gossip_s) == 0) {
+		double sent = fl_now();
+		struct fl_gossip mine, theirs;
+		struct fl_reply reply;
+		char *text;
+		int rc;
+
+		say(n, &mine);
+		text = fl_gossip_encode(&mine);
+		rc = fl_http_call(&p->http, "POST", "/gossip", text, choice.gossip_wait_s, &reply);
+		free(text);
+		if (rc == 0) {
+			if (reply.status == 200 &&
+			    fl_gossip_decode(reply.body.data, reply.body.len, &theirs) == 0) {
+				p->said = theirs;
+				p->last_ok = fl_now();
+				hear(n, &theirs, sent);
+			}
+			fl_buf_free(&reply.body);
+		}
+		if (p->up != (rc == 0))
+			fl_info("peers", "%s is %s", p->name, rc == 0 ? "up" : "not answering");
+		p->up = rc == 0;
+	}
+}
+
+static int write_digest(struct fl_node *n, int at, cJSON *list)
+{
+	char key[FL_KEY_MAX];
+	struct fl_multi m;
+	uint64_t rev;
+	cJSON *v = cJSON_CreateObject();
+
+	cJSON_AddNumberToObject(v, "epoch", (double)n->epoch);
+	cJSON_AddItemToObject(v, "reports", list);
+	snprintf(key, sizeof(key), FL_PREFIX_KEPT "%s/%d", n->config->node, at);
+	fl_multi_init(&m);
+	fl_multi_put(&m, key, v, 0);
+	return fl_state_multi(&n->state, &m, &rev, NULL);
+}
+
+/*
+ * The leader must not take machines for dead that are kept here and that it cannot hear. Reports
+ * travel as they are, through the state service, a few to a record.
+ */
+static void digest(struct fl_node *n, double since)
+{
+	size_t limit = (size_t)(n->config->value_kb * 1024 * choice.record_use), used = 0;
+	struct fl_kept *k, *tmp;
+	cJSON *list = NULL;
+	int at = 0;
+
+	HASH_ITER(hh, n->keeper.kept, k, tmp) {
+		/* Quotes are escaped on the way: count them twice. */
+		size_t len = k->body ? strlen(k->body) * 5 / 4 + 8 : 0;
+
+		if (k->at < since || len == 0 || len > limit)
+			continue;
+		if (list && used + len > limit) {
+			if (write_digest(n, at++, list) != 0)
+				return;
+			list = NULL;
+		}
+		if (!list) {
+			list = cJSON_CreateArray();
+			used = 0;
+		}
+		cJSON_AddItemToArray(list, cJSON_CreateString(k->body));
+		used += len;
+		/* The table may change while a write waits: start over next time. */
+		k->at = -1e9;
+	}
+	if (list)
+		write_digest(n, at, list);
+}
+
+static void digest_duty(void *arg)
+{
+	struct fl_node *n = arg;
+
+	while (fl_sleep(choice.digest_s) == 0) {
+		double now = fl_now();
+		struct fl_kept *k, *tmp;
+
+		HASH_ITER(hh, n->keeper.kept, k, tmp)
+			if (k->at < now - 5 * choice.digest_s)
+				unkeep(n, k);
+		if (!n->keeper.kept || fl_lease_valid(n) || !n->leader[0] ||
+		    n->state.last_refusal > n->state.last_ok)
+			continue;
+		digest(n, now - 2 * choice.digest_s);
+	}
+}
+
+void fl_keeper_start(struct fl_node *n)
+{
+	for (int i = 0; i < n->n_peers; i++)
+		fl_spawn(gossip_duty, &n->peers[i]);
+	fl_spawn(digest_duty, n);
+}
--- /dev/null
+++ b/src/coordination/leader.h
@@ -0,0 +1,42 @@
+/* The leader's duties: passes, records, direct commands, cancellations and answers to users. */
+#ifndef FL_COORDINATION_LEADER_H
+#define FL_COORDINATION_LEADER_H
+
+#include "bookkeeping/ledger.h"
+#include "transport/http_server.h"
+#include "transport/routine.h"
+
+struct fl_node;
+struct fl_job;
+struct fl_machine;
+
+enum { FL_DUTIES_MAX = 8 };
+
+struct fl_leadership {
+	bool active; /* duties run, books are loaded */
+	uint64_t first_epoch; /* the epoch of the takeover; raised ones lie above it */
+	double since;
+	int running; /* routines that use the leader's books */
+	struct fl_routine *duty[FL_DUTIES_MAX];
+	int n_duties;
+	struct fl_signal work;  /* something to decide */
+	struct fl_signal dirty; /* something to write */
+	struct fl_signal ended; /* a routine has ended */
+	struct fl_budget writes;
+	bool due; /* a pass is wanted */
+	int resume;
+	int pushes;
+	int unforgotten; /* finished entries that only a higher epoch lets go */
+	uint64_t passes;
+	double last_pass_s; /* how long the last pass took */
+};
+
+void fl_leader_begin(struct fl_node *n);
+void fl_leader_end(struct fl_node *n);
+/* Answers to users, by the node whose lease is valid now. */
+void fl_leader_poll(struct fl_node *n, const char *ref, struct fl_response *resp);
+void fl_leader_cancel(struct fl_node *n, const char *ref, struct fl_response *resp);
+/* A machine has something for a direct command. */
+void fl_leader_push(struct fl_node *n, struct fl_machine *m);
+
+#endif
--- /dev/null
+++ b/src/coordination/lease.c
@@ -0,0 +1,280 @@
+#include "coordination/lease.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "coordination/node.h"
+#include "transport/clock.h"
+#include "transport/log.h"
+#include "transport/routine.h"
+
+static const struct {
+	double ttl_s;      /* s; a dead leader is missed for at most this long */
+	double renew_s;    /* s; three tries before the lease ends */
+	double drift;      /* share; twice what the platform allows between two clocks */
+	double margin_s;   /* s; for a timer that fires late */
+	double poll_s;     /* s; how often others read who leads, which is also their proof */
+	double retry_s;    /* s; after a refusal */
+	double stagger_s;  /* s a node; so that not all try for the lease at once */
+	double hold_s;     /* s; length of a watch */
+	double epoch_gap_s; /* s; least time between two raised epochs */
+} choice = {3.0, 0.8, 0.001, 0.1, 1.0, 0.3, 0.05, 10.0, 4.0};
+
+bool fl_lease_valid(const struct fl_node *n)
+{
+	return n->lease.held && fl_now() < n->lease.valid_until;
+}
+
+struct control {
+	char leader[FL_NAME_MAX], boot[96];
+	uint64_t lead_rev, epoch, epoch_rev;
+	bool found;
+};
+
+static void read_control(void *ctx, const struct fl_change *ch)
+{
+	struct control *c = ctx;
+
+	if (strcmp(ch->key, FL_KEY_LEAD) == 0 && ch->value) {
+		c->found = fl_json_str(ch->value, "node", c->leader, sizeof(c->leader)) ==
+			   FL_FIELD_OK;
+		fl_json_str(ch->value, "boot", c->boot, sizeof(c->boot));
+		c->lead_rev = ch->rev;
+	} else if (strcmp(ch->key, FL_KEY_EPOCH) == 0 && ch->value) {
+		fl_json_count(ch->value, "epoch", &c->epoch);
+		c->epoch_rev = ch->rev;
+	}
+}
+
+static int look(struct fl_node *n, struct control *c)
+{
+	double sent = fl_now();
+	uint64_t rev;
+	int rc;
+
+	memset(c, 0, sizeof(*c));
+	rc = fl_state_list(&n->state, FL_PREFIX_CONTROL, read_control, c, &rev);
+	if (rc)
+		return rc;
+	if (c->epoch >= n->epoch) {
+		n->epoch = c->epoch;
+		if (sent > n->proof_at)
+			n->proof_at = sent;
+		strcpy(n->leader, c->found ? c->leader : "");
+	}
+	return 0;
+}
+
+int fl_lease_refresh(struct fl_node *n)
+{
+	struct control c;
+
+	return look(n, &c);
+}
+
+void fl_lease_lost(struct fl_node *n, const char *why)
+{
+	if (!n->lease.held)
+		return;
+	fl_info("lease", "%s leads no more (epoch %llu): %s", n->config->node,
+		(unsigned long long)n->lease.epoch, why);
+	n->lease.held = false;
+	n->lease.valid_until = 0;
+	fl_signal_wake(&n->control_changed);
+}
+
+static void acquire(struct fl_node *n, const struct control *c)
+{
+	struct fl_lease *l = &n->lease;
+	uint64_t grant, rev, epoch = c->epoch + 1;
+	double sent = fl_now();
+	struct fl_multi m;
+	cJSON *lead, *e;
+	int rc = fl_state_hold(&n->state, choice.ttl_s, &grant);
+
+	if (rc)
+		return;
+	lead = cJSON_CreateObject();
+	cJSON_AddStringToObject(lead, "node", n->config->node);
+	cJSON_AddStringToObject(lead, "boot", n->boot);
+	e = cJSON_CreateObject();
+	cJSON_AddNumberToObject(e, "epoch", (double)epoch);
+	fl_multi_init(&m);
+	fl_multi_when(&m, FL_KEY_LEAD, 0);
+	fl_multi_when(&m, FL_KEY_EPOCH, c->epoch_rev);
+	fl_multi_put(&m, FL_KEY_LEAD, lead, grant);
+	fl_multi_put(&m, FL_KEY_EPOCH, e, 0);
+	rc = fl_state_multi(&n->state, &m, &rev, NULL);
+	if (rc) {
+		/* If it was, or will yet be, carried out: the key goes with its lease. */
+		fl_state_release(&n->state, grant);
+		return;
+	}
+	l->grant = grant;
+	l->lead_rev = l->epoch_rev = rev;
+	l->epoch = epoch;
+	l->valid_until = sent + choice.ttl_s * (1 - choice.drift) - choice.margin_s;
+	l->held = true;
+	l->want_epoch = false;
+	l->raised_at = fl_now();
+	n->epoch = epoch;
+	n->proof_at = sent;
+	strcpy(n->leader, n->config->node);
+	fl_info("lease", "%s leads with epoch %llu", n->config->node, (unsigned long long)epoch);
+}
+
+static void raise_epoch(struct fl_node *n)
+{
+	struct fl_lease *l = &n->lease;
+	uint64_t rev, grant = l->grant;
+	struct fl_multi m;
+	struct control c;
+	cJSON *e = cJSON_CreateObject();
+	int rc;
+
+	l->raised_at = fl_now();
+	cJSON_AddNumberToObject(e, "epoch", (double)(l->epoch + 1));
+	fl_multi_init(&m);
+	fl_multi_when(&m, FL_KEY_LEAD, l->lead_rev);
+	fl_multi_when(&m, FL_KEY_EPOCH, l->epoch_rev);
+	fl_multi_put(&m, FL_KEY_EPOCH, e, 0);
+	rc = fl_state_multi(&n->state, &m, &rev, NULL);
+	if (!l->held || l->grant != grant)
+		return;
+	if (!rc) {
+		l->epoch++;
+		l->epoch_rev = rev;
+		l->want_epoch = false;
+	} else if (look(n, &c) == 0 && l->held && c.lead_rev == l->lead_rev) {
+		/* It went unanswered: what stands now is what counts. */
+		l->epoch = c.epoch;
+		l->epoch_rev = c.epoch_rev;
+	}
+	if (l->held)
+		n->epoch = l->epoch;
+}
+
+static double renew(struct fl_node *n)
+{
+	struct fl_lease *l = &n->lease;
+	uint64_t grant = l->grant;
+	double sent = fl_now();
+	int rc = fl_state_extend(&n->state, grant, choice.renew_s);
+
+	if (!l->held || l->grant != grant)
+		return 0;
+	if (rc == 0) {
+		l->valid_until = sent + choice.ttl_s * (1 - choice.drift) - choice.margin_s;
+		if (sent > n->proof_at)
+			n->proof_at = sent;
+		if (l->want_epoch && fl_now() > l->raised_at + choice.epoch_gap_s)
+			raise_epoch(n);
+		return choice.renew_s;
+	}
+	if (rc == -ENOENT) {
+		fl_lease_lost(n, "the lease has ended");
+		return 0;
+	}
+	if (fl_now() > l->valid_until)
+		fl_debug("lease", "cannot renew (%s): keeping only", strerror(-rc));
+	return choice.retry_s;
+}
+
+static double seek(struct fl_node *n, int place)
+{
+	struct control c;
+	uint64_t rev, grant = 0;
+	cJSON *v;
+
+	if (look(n, &c) != 0)
+		return choice.retry_s;
+	if (c.found && strcmp(c.leader, n->config->node) != 0)
+		return choice.poll_s;
+	if (c.found && strcmp(c.boot, n->boot) != 0) {
+		/* An earlier process of this node; it is dead, or this one would not run. */
+		if (fl_state_get(&n->state, FL_KEY_LEAD, &v, &rev, &grant) == 0) {
+			cJSON_Delete(v);
+			if (grant && rev == c.lead_rev)
+				fl_state_release(&n->state, grant);
+		}
+		return 0;
+	}
+	if (c.found)
+		return choice.retry_s; /* our own, given up, and about to end */
+	if (fl_sleep(choice.stagger_s * place) != 0)
+		return 0;
+	acquire(n, &c);
+	return n->lease.held ? 0 : choice.retry_s;
+}
+
+static void lease_duty(void *arg)
+{
+	struct fl_node *n = arg;
+	int place = 0;
+
+	for (int i = 0; i < n->n_peers; i++)
+		place += strcmp(n->peers[i].name, n->config->node) < 0;
+	while (!fl_cancelled()) {
+		double pause;
+
+		if (n->lease.held) {
+			if (!n->lead.active)
+				fl_leader_begin(n);
+			pause = renew(n);
+		} else {
+			if (n->lead.active)
+				fl_leader_end(n);
+			pause = n->kinds_known && n->jobs_known ? seek(n, place)
+								: choice.retry_s;
+		}
+		if (pause > 0 && fl_signal_wait(&n->control_changed, pause) == -ECANCELED)
+			break;
+	}
+}
+
+static void on_control(void *ctx, const struct fl_change *ch)
+{
+	struct fl_node *n = ctx;
+	uint64_t epoch;
+
+	if (strcmp(ch->key, FL_KEY_LEAD) == 0) {
+		if (!ch->value)
+			n->leader[0] = 0;
+		else
+			fl_json_str(ch->value, "node", n->leader, sizeof(n->leader));
+		if (!n->lease.held)
+			fl_signal_wake(&n->control_changed);
+	} else if (strcmp(ch->key, FL_KEY_EPOCH) == 0 && ch->value &&
+		   fl_json_count(ch->value, "epoch", &epoch) == FL_FIELD_OK) {
+		if (epoch > n->epoch)
+			n->epoch = epoch;
+	}
+}
+
+/* Hears of a leader's end within milliseconds, where reading alone would take a second. */
+static void watch_duty(void *arg)
+{
+	struct fl_node *n = arg;
+	uint64_t rev = 0;
+
+	while (!fl_cancelled()) {
+		int rc;
+
+		if (rev == 0)
+			rc = fl_state_list(&n->state, FL_PREFIX_CONTROL, on_control, n, &rev);
+		else
+			rc = fl_state_follow(&n->state, FL_PREFIX_CONTROL, &rev, choice.hold_s,
+					     on_control, n);
+		if (rc == -ERANGE)
+			rev = 0;
+		if (rc && fl_sleep(choice.retry_s) != 0)
+			break;
+	}
+}
+
+void fl_lease_start(struct fl_node *n)
+{
+	n->proof_at = -1e9;
+	fl_spawn(lease_duty, n);
+	fl_spawn(watch_duty, n);
+}
--- /dev/null
+++ b/src/coordination/node.c
@@ -0,0 +1,463 @@
+#include "coordination/node.h"
+
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "transport/clock.h"
+#include "transport/log.h"
+#include "transport/routine.h"
+
+static const struct {
+	double retry_s;      /* s between tries at what a node needs before it can serve */
+	double hold_s;       /* s; length of a watch */
+	double relay_s;      /* s for a relayed poll; users wait 2 s for it */
+	double relay_write_s; /* s for a relayed cancel or submission; users wait 5 s */
+	int later_s;         /* s; Retry-After of a 503 */
+	double down_s;       /* s after a refusal in which the state service counts as down */
+	int peer_conns;      /* connections kept open to each peer */
+	double user_share;   /* share of all connections that users and workers may hold */
+} choice = {0.5, 10.0, 1.2, 2.0, 1, 0.3, 6, 0.8};
+
+void fl_refuse(struct fl_response *resp, int status, const char *fmt, ...)
+{
+	char text[256];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	free(resp->body);
+	resp->status = status;
+	resp->body = fl_json_error("%s", text);
+}
+
+void fl_later(struct fl_response *resp, const char *why)
+{
+	fl_refuse(resp, 503, "%s", why);
+	resp->retry_after_s = choice.later_s;
+	/* The balancer may find a better node for the next try than this one. */
+	resp->close = true;
+}
+
+/* ---- submissions ---- */
+
+/* NULL, or why the job can never run. */
+static const char *never(const struct fl_node *n, const struct fl_run *r)
+{
+	int team = fl_teams_find(&n->books.teams, r->owner), zone = -1;
+	const struct fl_team *t;
+	double tasks = r->kind == FL_STANDING ? r->parts : 1;
+	bool fits = false;
+
+	if (team < 0)
+		return "Owner: unknown team";
+	if (r->has_site) {
+		zone = fl_names_find(&n->books.zones, r->site);
+		if (zone < 0)
+			return "Site: unknown zone";
+	}
+	for (int i = 0; i < n->books.machines.n_kinds && !fits; i++) {
+		const struct fl_kind *k = &n->books.machines.kinds[i];
+		bool named = r->n_host_kinds < 0;
+
+		for (int h = 0; h < r->n_host_kinds && !named; h++)
+			named = strcmp(r->host_kinds[h], k->name) == 0;
+		fits = named && r->cpus <= k->cpus && r->gpus <= k->gpus &&
+		       r->ram_gb <= k->ram_gb && (zone < 0 || (k->zones >> zone & 1));
+	}
+	if (!fits)
+		return "a task fits no allowed machine type";
+	t = &n->books.teams.at[team];
+	if (!fl_team_within_max(t, r->cpus * tasks, r->gpus * tasks))
+		return "more than the team's limit";
+	return NULL;
+}
+
+/* 1: known, and answered; 0: not known; <0: cannot be told now. */
+static int answer_known(struct fl_node *n, const char *ref, bool last_hop,
+			struct fl_response *resp)
+{
+	char key[FL_KEY_MAX];
+	uint64_t rev;
+	cJSON *v;
+	int rc;
+
+	if (!fl_final_find(&n->books, ref) && !fl_job_find(&n->books, ref)) {
+		fl_key_job(key, ref);
+		rc = fl_state_get(&n->state, key, &v, &rev, NULL);
+		cJSON_Delete(v);
+		if (rc)
+			return rc == -ENOENT ? 0 : rc;
+	}
+	fl_node_user_call(n, FL_CALL_POLL, ref, NULL, 0, last_hop, resp);
+	return 1;
+}
+
+static int store_job(struct fl_node *n, const struct fl_run *run)
+{
+	double submitted = fl_wall();
+	struct fl_multi m;
+	struct fl_job *job;
+	char key[FL_KEY_MAX];
+	uint64_t rev;
+	int rc;
+
+	fl_key_job(key, run->ref);
+	fl_multi_init(&m);
+	fl_multi_when(&m, key, 0);
+	fl_multi_put(&m, key, fl_job_record_live(run, submitted), 0);
+	rc = fl_state_multi(&n->state, &m, &rev, NULL);
+	if (rc)
+		return rc;
+	if (!fl_final_find(&n->books, run->ref) && !fl_job_find(&n->books, run->ref)) {
+		job = fl_job_add(&n->books, run, submitted, rev);
+		if (job && n->lead.active) {
+			n->lead.due = true;
+			fl_signal_wake(&n->lead.work);
+		}
+	}
+	return 0;
+}
+
+static bool state_is_down(const struct fl_node *n)
+{
+	return n->state.last_refusal > n->state.last_ok &&
+	       fl_now() - n->state.last_refusal < choice.down_s;
+}
+
+static void submit(struct fl_node *n, const char *body, size_t len, bool last_hop,
+		   struct fl_response *resp)
+{
+	cJSON *o = fl_json_parse(body, len);
+	const char *bad, *why;
+	struct fl_run run;
+	struct fl_reply reply;
+	int rc;
+
+	if (!cJSON_IsObject(o)) {
+		cJSON_Delete(o);
+		fl_refuse(resp, 400, "the body must be a JSON object");
+		return;
+	}
+	bad = fl_run_decode(o, &run);
+	cJSON_Delete(o);
+	if (!run.ref[0]) {
+		fl_refuse(resp, 400, "Ref: missing or invalid");
+		return;
+	}
+	/* A known job is answered with its state before anything else is judged. */
+	if (bad || !n->kinds_known || fl_final_find(&n->books, run.ref) ||
+	    fl_job_find(&n->books, run.ref)) {
+		rc = answer_known(n, run.ref, last_hop, resp);
+		if (rc == 1)
+			return;
+		if (rc < 0 || !bad)
+			fl_later(resp, "cannot decide yet");
+		else
+			fl_refuse(resp, 400, "%s: missing or invalid", bad);
+		return;
+	}
+	why = never(n, &run);
+	if (why) {
+		rc = answer_known(n, run.ref, last_hop, resp);
+		if (rc == 0)
+			fl_refuse(resp, 422, "%s", why);
+		else if (rc < 0)
+			fl_later(resp, "cannot decide yet");
+		return;
+	}
+	rc = state_is_down(n) ? -EAGAIN : store_job(n, &run);
+	if (rc == 0) {
+		resp->status = 201;
+		resp->body = fl_status_encode(run.ref, FL_PENDING, -1, 0);
+		return;
+	}
+	if (rc == -ESTALE && answer_known(n, run.ref, last_hop, resp) == 1)
+		return;
+	/* The state service may refuse this node alone: the leader, if another, has it. */
+	if (rc != -ESTALE && !last_hop && !fl_lease_valid(n) &&
+	    fl_relay(n, FL_CALL_SUBMIT, NULL, body, false, choice.relay_write_s, &reply) == 0) {
+		if (reply.status == 200 || reply.status == 201) {
+			resp->status = reply.status;
+			resp->body = reply.body.data;
+			return;
+		}
+		fl_buf_free(&reply.body);
+	}
+	fl_later(resp, "the job could not be stored");
+}
+
+/* ---- polls and cancellations ---- */
+
+/* Without a leader in reach, the records themselves answer: never older than what was told. */
+static void poll_records(struct fl_node *n, const char *ref, struct fl_response *resp);
+
+struct progress {
+	uint32_t done, placed;
+};
+
+static void count_progress(void *ctx, const struct fl_change *ch)
+{
+	struct progress *p = ctx;
+
+	fl_chunk_count(ch->value, &p->done, &p->placed);
+}
+
+static void poll_records(struct fl_node *n, const char *ref, struct fl_response *resp)
+{
+	struct fl_job_record rec;
+	struct progress p = {0};
+	char key[FL_KEY_MAX];
+	uint64_t rev;
+	cJSON *v;
+	int rc;
+
+	fl_key_job(key, ref);
+	rc = fl_state_get(&n->state, key, &v, &rev, NULL);
+	if (rc == 0)
+		rc = fl_job_record_decode(v, &rec);
+	cJSON_Delete(v);
+	if (rc == -ENOENT) {
+		fl_refuse(resp, 404, "no such job");
+		return;
+	}
+	if (rc) {
+		fl_later(resp, "neither the leader nor the state service answers");
+		return;
+	}
+	if (rec.final) {
+		resp->status = 200;
+		resp->body = fl_status_encode(ref, rec.status,
+					      rec.status == FL_DONE ? rec.parts : 0, 0);
+		return;
+	}
+	snprintf(key, sizeof(key), FL_PREFIX_PROGRESS "%s/", ref);
+	fl_state_list(&n->state, key, count_progress, &p, &rev);
+	resp->status = 200;
+	resp->body = fl_status_encode(ref, p.placed ? FL_RUNNING : FL_PENDING, p.done, p.placed);
+}
+
+static void relayed(struct fl_node *n, enum fl_user_call call, const char *ref, bool last_hop,
+		    struct fl_response *resp)
+{
+	double patience = call == FL_CALL_POLL ? choice.relay_s : choice.relay_write_s;
+	struct fl_reply reply;
+
+	if (fl_relay(n, call, ref, NULL, last_hop, patience, &reply) == 0) {
+		if (reply.status == 200 || reply.status == 404) {
+			resp->status = reply.status;
+			resp->body = reply.body.data;
+			return;
+		}
+		fl_buf_free(&reply.body);
+	}
+	if (last_hop)
+		fl_refuse(resp, 421, "not the leader");
+	else if (call == FL_CALL_POLL)
+		poll_records(n, ref, resp);
+	else
+		fl_later(resp, "there is no leader at the moment");
+}
+
+static void poll_or_cancel(struct fl_node *n, enum fl_user_call call, const char *ref,
+			   bool last_hop, struct fl_response *resp)
+{
+	struct fl_final *f;
+
+	if (!ref[0]) {
+		fl_refuse(resp, 404, "no such job");
+		return;
+	}
+	f = fl_final_find(&n->books, ref);
+	if (f) {
+		resp->status = 200;
+		resp->body = fl_status_encode(ref, (enum fl_status)f->status,
+					      call == FL_CALL_CANCEL ? -1
+					      : f->status == FL_DONE ? (int64_t)f->parts
+								     : 0,
+					      0);
+		return;
+	}
+	if (fl_lease_valid(n) && n->lead.active) {
+		if (call == FL_CALL_POLL)
+			fl_leader_poll(n, ref, resp);
+		else
+			fl_leader_cancel(n, ref, resp);
+		return;
+	}
+	relayed(n, call, ref, last_hop, resp);
+}
+
+void fl_node_user_call(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
+		       size_t len, bool last_hop, struct fl_response *resp)
+{
+	switch (call) {
+	case FL_CALL_SUBMIT:
+		submit(n, body, len, last_hop, resp);
+		break;
+	case FL_CALL_POLL:
+	case FL_CALL_CANCEL:
+		poll_or_cancel(n, call, ref, last_hop, resp);
+		break;
+	case FL_CALL_REPORT:
+		fl_keeper_report(n, body, len, last_hop, resp);
+		break;
+	case FL_CALL_READY:
+		resp->status = n->kinds_known && n->jobs_known ? 200 : 503;
+		break;
+	default:
+		fl_refuse(resp, 404, "no such path");
+	}
+}
+
+static void on_public(void *ctx, const struct fl_request *req, struct fl_response *resp)
+{
+	char ref[FL_REF_MAX];
+	enum fl_user_call call = fl_user_route(req->path, ref);
+	enum http_method want =
+		call == FL_CALL_POLL || call == FL_CALL_READY ? HTTP_GET : HTTP_POST;
+
+	if (call != FL_CALL_NONE && req->method != want) {
+		fl_refuse(resp, 405, "wrong method");
+		return;
+	}
+	fl_node_user_call(ctx, call, ref, req->body, req->body_len, false, resp);
+}
+
+static void on_peer(void *ctx, const struct fl_request *req, struct fl_response *resp)
+{
+	struct fl_node *n = ctx;
+	struct fl_relay r;
+	bool leads = fl_lease_valid(n) && n->lead.active;
+
+	if (strcmp(req->path, "/gossip") == 0) {
+		fl_keeper_gossip(n, req->body, req->body_len, resp);
+		return;
+	}
+	if (strcmp(req->path, "/relay") != 0) {
+		fl_refuse(resp, 404, "no such path");
+		return;
+	}
+	if (fl_relay_decode(req->body, req->body_len, &r) != 0) {
+		fl_refuse(resp, 400, "not a relayed call");
+		return;
+	}
+	/* Only a leader answers; one hop further, if the sender could not reach it itself. */
+	if (!leads && (r.last_hop || strcmp(n->leader, n->config->node) == 0))
+		fl_refuse(resp, 421, "not the leader");
+	else
+		fl_node_user_call(n, r.call, r.ref, r.body, r.body ? strlen(r.body) : 0, true,
+				  resp);
+	fl_relay_free(&r);
+}
+
+/* ---- what every node knows ---- */
+
+static void on_job(void *ctx, const struct fl_change *ch)
+{
+	struct fl_node *n = ctx;
+	const char *ref = ch->key + strlen(FL_PREFIX_JOBS);
+
+	if (!ch->value || strlen(ref) >= FL_REF_MAX)
+		return;
+	if (fl_books_apply(&n->books, ref, ch->value, ch->rev) && n->lead.active) {
+		n->lead.due = true;
+		fl_signal_wake(&n->lead.work);
+	}
+}
+
+static void jobs_duty(void *arg)
+{
+	struct fl_node *n = arg;
+	uint64_t rev = 0;
+
+	while (!n->kinds_known)
+		if (fl_sleep(choice.retry_s / 5) != 0)
+			return;
+	while (!fl_cancelled()) {
+		int rc;
+
+		if (rev == 0)
+			rc = fl_state_list(&n->state, FL_PREFIX_JOBS, on_job, n, &rev);
+		else
+			rc = fl_state_follow(&n->state, FL_PREFIX_JOBS, &rev, choice.hold_s,
+					     on_job, n);
+		if (rc == 0 && !n->jobs_known) {
+			n->jobs_known = true;
+			fl_info("node", "%s is ready", n->config->node);
+		}
+		if (rc == -ERANGE)
+			rev = 0;
+		if (rc && fl_sleep(choice.retry_s) != 0)
+			return;
+	}
+}
+
+static void kinds_duty(void *arg)
+{
+	struct fl_node *n = arg;
+
+	while (!n->kinds_known) {
+		struct fl_host_kind *kinds;
+		int count;
+
+		if (fl_cloud_kinds(&n->cloud, &kinds, &count) == 0) {
+			fl_kinds_set(&n->books.machines, &n->books.zones, kinds, count);
+			free(kinds);
+			n->kinds_known = true;
+			return;
+		}
+		if (fl_sleep(choice.retry_s) != 0)
+			return;
+	}
+}
+
+static int set_up(struct fl_node *n, const struct fl_config *c)
+{
+	n->config = c;
+	snprintf(n->boot, sizeof(n->boot), "%s-%.6f", c->node, fl_wall());
+	for (int i = 0; i < c->n_zones; i++)
+		if (fl_names_add(&n->books.zones, c->zones[i]) < 0)
+			return -ENOMEM;
+	for (int i = 0; i < c->n_teams; i++) {
+		struct fl_team *t = &n->books.teams.at[n->books.teams.n++];
+
+		strcpy(t->name, c->teams[i].name);
+		t->cpus = c->teams[i].cpus;
+		t->gpus = c->teams[i].gpus;
+		t->cpus_max = c->teams[i].cpus_max;
+		t->gpus_max = c->teams[i].gpus_max;
+	}
+	for (int i = 0; i < c->n_peers; i++) {
+		struct fl_peer *p = &n->peers[n->n_peers++];
+
+		p->owner = n;
+		strcpy(p->name, c->peers[i].node);
+		if (fl_http_client_init(&p->http, c->peers[i].addr, choice.peer_conns) != 0)
+			return -EINVAL;
+	}
+	if (fl_state_init(&n->state, c->state) != 0)
+		return -EINVAL;
+	return fl_http_client_init(&n->cloud.http, c->cloud, 2);
+}
+
+int fl_node_start(const struct fl_config *config)
+{
+	struct fl_node *n = calloc(1, sizeof(*n));
+	int conns = (int)(config->max_connections * choice.user_share);
+
+	if (!n || set_up(n, config) != 0 || !fl_http_serve(config->bind, conns, on_public, n) ||
+	    !fl_http_serve(config->cluster_listen, config->max_connections - conns, on_peer, n)) {
+		free(n);
+		return -1;
+	}
+	fl_lease_start(n);
+	fl_keeper_start(n);
+	fl_spawn(kinds_duty, n);
+	fl_spawn(jobs_duty, n);
+	fl_info("node", "%s (%s) listens on %s", config->node, config->location, config->bind);
+	return 0;
+}
--- /dev/null
+++ b/src/coordination/node.h
@@ -0,0 +1,58 @@
+/* One controller: what every node holds, whether it leads or not, and its two servers. */
+#ifndef FL_COORDINATION_NODE_H
+#define FL_COORDINATION_NODE_H
+
+#include "bookkeeping/jobs.h"
+#include "bookkeeping/ledger.h"
+#include "config.h"
+#include "coordination/keeper.h"
+#include "coordination/leader.h"
+#include "coordination/lease.h"
+#include "coordination/provision.h"
+#include "protocol/cloud.h"
+#include "protocol/peers.h"
+#include "protocol/state.h"
+#include "transport/http_server.h"
+
+struct fl_peer {
+	struct fl_node *owner;
+	char name[FL_NAME_MAX];
+	struct fl_http_client http;
+	struct fl_gossip said;
+	double last_ok; /* steady time of the last answer */
+	bool up;
+};
+
+struct fl_node {
+	const struct fl_config *config;
+	struct fl_books books;
+	struct fl_state state;
+	struct fl_cloud cloud;
+	struct fl_peer peers[FL_CONFIG_PEERS];
+	int n_peers;
+	char boot[96]; /* names this process, not only this node */
+	bool kinds_known, jobs_known;
+
+	/* What is known of leadership, with the steady time at which it was surely true. */
+	char leader[FL_NAME_MAX];
+	uint64_t epoch;
+	double proof_at;
+	struct fl_signal control_changed;
+
+	struct fl_lease lease;
+	struct fl_leadership lead;
+	struct fl_keeper keeper;
+	struct fl_provision provision;
+};
+
+int fl_node_start(const struct fl_config *config);
+/* Answers a user's call here, passing on what only the leader can say. */
+void fl_node_user_call(struct fl_node *n, enum fl_user_call call, const char *ref,
+		       const char *body, size_t len, bool last_hop, struct fl_response *resp);
+/* Fills a response with an error text. */
+void fl_refuse(struct fl_response *resp, int status, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+/* "Not now": at once, with when to come back, on another connection. */
+void fl_later(struct fl_response *resp, const char *why);
+
+#endif
--- /dev/null
+++ b/src/coordination/provision.c
@@ -0,0 +1,500 @@
+#include "coordination/provision.h"
+
+#include <errno.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/node.h"
+#include "coordination/reconcile.h"
+#include "coordination/schedule.h"
+#include "transport/clock.h"
+#include "transport/log.h"
+#include "transport/routine.h"
+
+static const struct {
+	double round_s;      /* s between two looks at the machines */
+	double list_s;       /* s between two lists */
+	double kinds_s;      /* s between two looks at prices */
+	double refused_s;    /* s for which a refused place is not asked again */
+	double idle_boots;   /* boot times for which an idle machine is kept */
+	double boot_most;    /* boot times after which a booting machine is given up */
+	double silent_extra_s; /* s beyond a worker's lease before a silent machine is returned */
+	double mass_share;   /* share of machines silent at once that points at us, not at them */
+	double mass_leases;  /* leases of silence after which they are returned all the same */
+	double soon_boots;   /* boot times within which an ending task's room is waited for */
+	int machines_most;   /* rented in one round */
+	int tries;           /* of one rental that goes unanswered */
+} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 3.0, 2.0, 0.4, 3.0, 0.7, 40, 3};
+
+/* A machine that is booting or about to be rented, filled in thought. */
+struct virtual {
+	int kind, zone;
+	bool spot, fresh;
+	double cpus, gpus, ram;
+};
+
+struct plan {
+	struct fl_node *n;
+	struct virtual *at;
+	int count, cap, fresh;
+	double soon; /* tasks' worth of room that ends before a machine could boot */
+	int zone_machines[FL_ZONES_MAX];
+	double now;
+};
+
+static struct virtual *add_virtual(struct plan *p, int kind, int zone, bool spot, bool fresh)
+{
+	const struct fl_kind *k = &p->n->books.machines.kinds[kind];
+
+	if (p->count == p->cap)
+		return NULL;
+	p->at[p->count] = (struct virtual){kind, zone, spot, fresh, k->cpus, k->gpus, k->ram_gb};
+	p->fresh += fresh;
+	return &p->at[p->count++];
+}
+
+static bool job_allows(const struct fl_job *job, int kind, int zone, bool spot)
+{
+	return (job->kinds >> kind & 1) && (job->site < 0 || job->site == zone) &&
+	       (job->reclaimable || !spot);
+}
+
+static bool zone_allows(const struct fl_job *job, const uint32_t *placed, int zone)
+{
+	if (job->apart && placed[zone] + 1 > (job->parts + 1) / 2)
+		return false;
+	for (int z = 0; job->together && z < FL_ZONES_MAX; z++)
+		if (z != zone && placed[z] > 0)
+			return false;
+	return true;
+}
+
+static bool room_for(const struct virtual *v, const struct fl_job *job)
+{
+	return v->cpus + 1e-6 >= job->cpus && v->gpus + 1e-6 >= job->gpus &&
+	       v->ram + 1e-6 >= job->ram_gb;
+}
+
+static bool kind_fits(const struct fl_kind *k, const struct fl_job *job)
+{
+	return k->cpus + 1e-6 >= job->cpus && k->gpus + 1e-6 >= job->gpus &&
+	       k->ram_gb + 1e-6 >= job->ram_gb;
+}
+
+/* Price a second of one task's share of the machine. */
+static double unit_price(const struct fl_kind *k, const struct fl_job *job, bool spot)
+{
+	double n = 1e9;
+
+	if (job->cpus > 0)
+		n = fmin(n, floor(k->cpus / job->cpus + 1e-6));
+	if (job->gpus > 0)
+		n = fmin(n, floor(k->gpus / job->gpus + 1e-6));
+	if (job->ram_gb > 0)
+		n = fmin(n, floor(k->ram_gb / job->ram_gb + 1e-6));
+	return (spot ? k->spot_price : k->price) / fmax(1, fmin(n, 1e6));
+}
+
+static struct virtual *rent_for(struct plan *p, const struct fl_job *job, const uint32_t *placed)
+{
+	const struct fl_machines *ms = &p->n->books.machines;
+	double best_cost = INFINITY;
+	int kind = -1, zone = -1, spot = 0;
+
+	if (p->fresh >= choice.machines_most)
+		return NULL;
+	for (int k = 0; k < ms->n_kinds; k++) {
+		for (int z = 0; z < p->n->books.zones.n && z < FL_ZONES_MAX; z++) {
+			for (int s = 0; s < 2; s++) {
+				double cost;
+
+				if (!(ms->kinds[k].zones >> z & 1) || !kind_fits(&ms->kinds[k], job) ||
+				    !job_allows(job, k, z, s) || !zone_allows(job, placed, z) ||
+				    p->n->provision.refused_until[k][z][s] > p->now)
+					continue;
+				/* Among equal prices, the zone that holds the least. */
+				cost = unit_price(&ms->kinds[k], job, s) *
+				       (1 + 1e-4 * p->zone_machines[z] +
+					(job->apart ? 0.1 * placed[z] : 0));
+				if (cost < best_cost) {
+					best_cost = cost;
+					kind = k;
+					zone = z;
+					spot = s;
+				}
+			}
+		}
+	}
+	if (kind < 0)
+		return NULL;
+	p->zone_machines[zone]++;
+	return add_virtual(p, kind, zone, spot, true);
+}
+
+static bool place_in_thought(struct plan *p, const struct fl_job *job, uint32_t *placed)
+{
+	struct virtual *v = NULL;
+
+	for (int i = 0; i < p->count && !v; i++) {
+		struct virtual *c = &p->at[i];
+
+		if (job_allows(job, c->kind, c->zone, c->spot) && room_for(c, job) &&
+		    zone_allows(job, placed, c->zone))
+			v = c;
+	}
+	if (!v)
+		v = rent_for(p, job, placed);
+	if (!v)
+		return false;
+	v->cpus -= job->cpus;
+	v->gpus -= job->gpus;
+	v->ram -= job->ram_gb;
+	placed[v->zone]++;
+	return true;
+}
+
+/* More than the team's limit lets run at once need no machine. */
+static uint32_t cap_by_team(const struct fl_node *n, const struct fl_job *job, uint32_t want)
+{
+	const struct fl_team *t = &n->books.teams.at[job->owner];
+	double most = want;
+
+	if (t->gpus_max > 0 && job->gpus > 0)
+		most = fmin(most, floor((t->gpus_max - t->used_gpus) / job->gpus + 1e-6));
+	if (t->cpus_max > 0 && job->cpus > 0)
+		most = fmin(most, floor((t->cpus_max - t->used_cpus) / job->cpus + 1e-6));
+	return most > 0 ? (uint32_t)most : 0;
+}
+
+static void plan_job(struct plan *p, const struct fl_job *job, uint32_t want)
+{
+	uint32_t placed[FL_ZONES_MAX];
+
+	memcpy(placed, job->zone_placed, sizeof(placed));
+	want = cap_by_team(p->n, job, want);
+	while (want > 0 && job->kind == FL_SWEEP && p->soon >= 1) {
+		p->soon -= 1;
+		want--;
+	}
+	while (want > 0 && place_in_thought(p, job, placed))
+		want--;
+}
+
+static void note_machines(struct plan *p)
+{
+	struct fl_books *b = &p->n->books;
+
+	for (int i = 0; i < b->machines.n; i++) {
+		struct fl_machine *m = b->machines.at[i];
+
+		if (m->gone || !m->described)
+			continue;
+		p->zone_machines[m->zone]++;
+		if (!m->up && !m->deleting && m->n_slots == 0)
+			add_virtual(p, m->kind, m->zone, m->spot, false);
+		for (int k = 0; m->up && k < m->n_slots; k++) {
+			const struct fl_job *job = m->slots[k].job;
+			const struct fl_task *t = fl_task_peek(job, m->slots[k].index);
+
+			if (job->kind == FL_SWEEP && t->sight == FL_SEEN_RUNNING &&
+			    job->expected_s - (p->now - t->since) <
+				    choice.soon_boots * b->machines.kinds[m->kind].ready_s)
+				p->soon += 1;
+		}
+	}
+}
+
+static void keep_want(struct fl_provision *pr, const struct plan *p)
+{
+	pr->n_want = 0;
+	for (int i = 0; i < p->count; i++) {
+		const struct virtual *v = &p->at[i];
+		int k = 0;
+
+		if (!v->fresh)
+			continue;
+		while (k < pr->n_want && !(pr->want[k].kind == v->kind &&
+					   pr->want[k].zone == v->zone && pr->want[k].spot == v->spot))
+			k++;
+		if (k == pr->n_want) {
+			if (k == FL_WANT_MAX)
+				continue;
+			pr->want[pr->n_want++] = (struct fl_want){v->kind, v->zone, 0, v->spot};
+		}
+		if (pr->want[k].count < FL_RENT_MAX)
+			pr->want[k].count++;
+	}
+}
+
+void fl_provision_shortage(struct fl_node *n, struct fl_job **jobs, const uint32_t *short_of,
+			   int count)
+{
+	struct plan p = {.n = n, .now = fl_now()};
+
+	if (n->provision.busy)
+		return;
+	p.cap = n->books.machines.n + choice.machines_most + 1;
+	p.at = malloc((size_t)p.cap * sizeof(*p.at));
+	if (!p.at)
+		return;
+	note_machines(&p);
+	for (int tier = FL_CRITICAL; tier >= FL_BEST_EFFORT; tier--)
+		for (int i = 0; i < count; i++)
+			if ((int)jobs[i]->tier == tier && short_of[i] > 0)
+				plan_job(&p, jobs[i], short_of[i]);
+	keep_want(&n->provision, &p);
+	free(p.at);
+}
+
+static int spend_call(struct fl_node *n)
+{
+	double wait;
+
+	while ((wait = fl_budget_take(&n->provision.calls, 1, fl_now())) > 0)
+		if (fl_sleep(wait) != 0)
+			return -ECANCELED;
+	return fl_lease_valid(n) ? 0 : -EAGAIN;
+}
+
+static int rent(struct fl_node *n, const struct fl_want *w)
+{
+	const char *kind = n->books.machines.kinds[w->kind].name;
+	const char *zone = fl_names_at(&n->books.zones, w->zone);
+	char name[64], (*hosts)[FL_NAME_MAX] = NULL;
+	int got = 0, rc = -EAGAIN;
+
+	/* The epoch of the takeover makes the name this leader's own; it is never used again. */
+	snprintf(name, sizeof(name), "r-%llu-%llu", (unsigned long long)n->lead.first_epoch,
+		 (unsigned long long)++n->provision.rentals);
+	for (int i = 0; i < choice.tries; i++) {
+		int rc_call = spend_call(n);
+
+		if (rc_call)
+			return rc_call;
+		rc = fl_cloud_rent(&n->cloud, name, kind, zone, w->spot, w->count, &hosts, &got);
+		if (rc == 0 || rc == -ENOSPC || rc == -EAGAIN || rc == -ECANCELED)
+			break;
+	}
+	for (int i = 0; i < got; i++) {
+		struct fl_machine *m = fl_machine_get(&n->books.machines, hosts[i], fl_now());
+
+		if (m)
+			fl_books_describe(&n->books, m, w->kind, w->zone, w->spot, NULL);
+	}
+	free(hosts);
+	if (rc == 0)
+		fl_info("cloud", "rented %d of %d %s%s in %s", got, w->count,
+			w->spot ? "reclaimable " : "", kind, zone);
+	else
+		fl_info("cloud", "no %s%s in %s: %s", w->spot ? "reclaimable " : "", kind, zone,
+			strerror(-rc));
+	if (rc == -ENOSPC || (rc == 0 && got < w->count))
+		n->provision.refused_until[w->kind][w->zone][w->spot] = fl_now() + choice.refused_s;
+	return rc == -ENOSPC ? 0 : rc;
+}
+
+static int rent_wanted(struct fl_node *n)
+{
+	struct fl_want want[FL_WANT_MAX];
+	int count = n->provision.n_want, rc = 0;
+
+	if (count == 0)
+		return 0;
+	memcpy(want, n->provision.want, sizeof(want));
+	n->provision.busy = true;
+	n->provision.n_want = 0;
+	for (int i = 0; i < count && rc == 0; i++)
+		rc = rent(n, &want[i]);
+	n->provision.busy = false;
+	fl_signal_wake(&n->lead.work);
+	return rc;
+}
+
+static void take_listed(struct fl_node *n, const struct fl_listed *l, double now, int *seen)
+{
+	struct fl_machine *m = fl_machine_get(&n->books.machines, l->host, now);
+
+	if (!m)
+		return;
+	fl_books_describe(&n->books, m, fl_kind_find(&n->books.machines, l->kind),
+			  fl_names_find(&n->books.zones, l->site), l->spot, l->endpoint);
+	if (m->id < *seen)
+		m->listed = true;
+	if (l->status == FL_HOST_FAILED && !m->gone)
+		fl_reconcile_gone(n, m, "it failed");
+	if (l->status == FL_HOST_FAILED)
+		m->deleting = true;
+}
+
+/*
+ * Missing from a list proves a machine gone only if that list, which may be twice the lag old,
+ * must have been made after the machine was there.
+ */
+static void conclude_missing(struct fl_node *n, double sent, int known)
+{
+	double lag = 2 * n->config->list_lag_s + 1;
+
+	for (int i = 0; i < known; i++) {
+		struct fl_machine *m = n->books.machines.at[i];
+
+		if (!m->gone && !m->listed && sent > m->created + lag)
+			fl_reconcile_gone(n, m, "no longer listed");
+	}
+}
+
+static int list_all(struct fl_node *n)
+{
+	double sent = fl_now();
+	int known = n->books.machines.n, rc;
+	char from[FL_NAME_MAX] = "";
+	bool more = true;
+
+	for (int i = 0; i < known; i++)
+		n->books.machines.at[i]->listed = false;
+	while (more) {
+		struct fl_listed *l;
+		int count;
+
+		rc = spend_call(n);
+		if (!rc)
+			rc = fl_cloud_list(&n->cloud, from, &l, &count, &more);
+		if (rc)
+			return rc;
+		for (int i = 0; i < count; i++)
+			take_listed(n, &l[i], fl_now(), &known);
+		if (count > 0)
+			strcpy(from, l[count - 1].host);
+		else
+			more = false;
+		free(l);
+	}
+	n->provision.listed_at = sent;
+	conclude_missing(n, sent, known);
+	return 0;
+}
+
+static double last_sign(const struct fl_node *n, const struct fl_machine *m)
+{
+	return fmax(fmax(m->heard, n->lead.since), m->created);
+}
+
+static bool silent(const struct fl_node *n, const struct fl_machine *m, double now, double leases)
+{
+	return (m->up || m->n_slots > 0) &&
+	       now - last_sign(n, m) >
+		       leases * n->config->lease_s + choice.silent_extra_s;
+}
+
+/* Many silent at once point at this node's own links: then it takes much longer to give up. */
+static double silence_allowed(const struct fl_node *n, double now)
+{
+	int up = 0, quiet = 0;
+
+	for (int i = 0; i < n->books.machines.n; i++) {
+		const struct fl_machine *m = n->books.machines.at[i];
+
+		if (m->gone || (!m->up && m->n_slots == 0))
+			continue;
+		up++;
+		quiet += silent(n, m, now, 1);
+	}
+	return quiet > 2 && quiet > choice.mass_share * up ? choice.mass_leases : 1;
+}
+
+static const char *why_return(struct fl_node *n, struct fl_machine *m, double now, double leases)
+{
+	const struct fl_kind *k = m->kind >= 0 ? &n->books.machines.kinds[m->kind] : NULL;
+	bool empty = m->n_slots == 0 && m->foreign == 0;
+
+	if (m->deleting)
+		return "given up";
+	if (m->gone)
+		return NULL;
+	if (silent(n, m, now, leases))
+		return "silent";
+	if (!k)
+		return NULL;
+	if (!m->up && m->n_slots == 0 && now - m->created > choice.boot_most * k->ready_s + 5)
+		return "never came up";
+	if (!m->up || !empty) {
+		m->idle_since = 0;
+		return NULL;
+	}
+	if (m->idle_since <= 0)
+		m->idle_since = now;
+	if (m->avoid_until > now && m->faults > 2)
+		return "faulty";
+	return now - m->idle_since > choice.idle_boots * k->ready_s ? "idle" : NULL;
+}
+
+static int return_machines(struct fl_node *n)
+{
+	const char *names[FL_DELETE_MAX];
+	struct fl_machine *list[FL_DELETE_MAX];
+	double now = fl_now(), leases = silence_allowed(n, now);
+	int count = 0, rc;
+
+	for (int i = 0; i < n->books.machines.n && count < FL_DELETE_MAX; i++) {
+		struct fl_machine *m = n->books.machines.at[i];
+		const char *why = m->returned ? NULL : why_return(n, m, now, leases);
+
+		if (!why)
+			continue;
+		fl_info("cloud", "returning %s: %s", m->name, why);
+		m->deleting = true;
+		list[count] = m;
+		names[count++] = m->name;
+	}
+	if (count == 0)
+		return 0;
+	rc = spend_call(n);
+	if (!rc)
+		rc = fl_cloud_delete(&n->cloud, names, count);
+	for (int i = 0; i < count && rc == 0; i++) {
+		list[i]->returned = true;
+		fl_reconcile_gone(n, list[i], "returned");
+	}
+	return rc;
+}
+
+static void refresh_kinds(struct fl_node *n)
+{
+	struct fl_host_kind *kinds;
+	int count;
+
+	if (spend_call(n) != 0 || fl_cloud_kinds(&n->cloud, &kinds, &count) != 0)
+		return;
+	fl_kinds_set(&n->books.machines, &n->books.zones, kinds, count);
+	free(kinds);
+}
+
+void fl_provision_begin(struct fl_node *n)
+{
+	double now = fl_now();
+
+	memset(&n->provision, 0, sizeof(n->provision));
+	n->provision.kinds_at = now;
+	fl_budget_init(&n->provision.calls, n->config->cloud_rps * 0.8, n->config->cloud_rps, now);
+}
+
+void fl_provision_duty(void *arg)
+{
+	struct fl_node *n = arg;
+
+	while (fl_sleep(choice.round_s) == 0) {
+		if (!fl_lease_valid(n))
+			continue;
+		return_machines(n);
+		rent_wanted(n);
+		if (fl_now() > n->provision.listed_at + choice.list_s)
+			list_all(n);
+		if (fl_now() > n->provision.kinds_at + choice.kinds_s) {
+			n->provision.kinds_at = fl_now();
+			refresh_kinds(n);
+		}
+	}
+	n->lead.running--;
+	fl_signal_wake(&n->lead.ended);
+}
--- /dev/null
+++ b/src/coordination/provision.h
@@ -0,0 +1,36 @@
+/* Machines: renting what is short, returning what idles, failed, or no longer answers. */
+#ifndef FL_COORDINATION_PROVISION_H
+#define FL_COORDINATION_PROVISION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bookkeeping/ledger.h"
+
+struct fl_node;
+struct fl_job;
+
+enum { FL_WANT_MAX = 32 };
+
+struct fl_want {
+	int kind, zone, count;
+	bool spot;
+};
+
+struct fl_provision {
+	struct fl_want want[FL_WANT_MAX];
+	int n_want;
+	bool busy; /* a rental is under way: what is short is not known till it is answered */
+	uint64_t rentals; /* names given out in this epoch */
+	double refused_until[FL_KINDS_KNOWN_MAX][FL_ZONES_MAX][2];
+	double listed_at, kinds_at;
+	struct fl_budget calls;
+};
+
+void fl_provision_begin(struct fl_node *n);
+void fl_provision_duty(void *node);
+/* What the last pass left without room; `short_of` by job. */
+void fl_provision_shortage(struct fl_node *n, struct fl_job **jobs, const uint32_t *short_of,
+			   int count);
+
+#endif
--- /dev/null
+++ b/src/coordination/reconcile.c
@@ -0,0 +1,290 @@
+#include "coordination/reconcile.h"
+
+#include <errno.h>
+#include <math.h>
+#include <string.h>
+
+#include "coordination/node.h"
+#include "transport/clock.h"
+#include "transport/log.h"
+
+static const struct {
+	double refused_s;   /* s before a refused start is tried again */
+	double error_s;     /* s after the first failure of a task, doubled each time */
+	double error_most_s; /* s; the most that a failing task waits */
+	int faults;         /* failures on a machine before it is avoided */
+	double avoid_s;     /* s for which it is avoided */
+} choice = {1.0, 2.0, 60.0, 2, 120.0};
+
+/* Newer by tenure, then serial; the first report heard is always newer. */
+static bool newer(const struct fl_machine *m, const struct fl_report *r)
+{
+	if (m->heard <= 0)
+		return true;
+	return r->tenure > m->tenure || (r->tenure == m->tenure && r->serial > m->serial);
+}
+
+/*
+ * Does the absence of an attempt from this report prove it is not there? Not if the report may
+ * have been sent before an older leader's answer was executed, nor if a direct launch may still
+ * arrive: both are ruled out once the worker has seen a higher epoch than they carry.
+ */
+static bool absence_proves(const struct fl_node *n, const struct fl_machine *m,
+			   const struct fl_task *t, const struct fl_report *r)
+{
+	if (t->epoch == 0 && r->epoch < n->lead.first_epoch)
+		return false;
+	if (m->direct_epoch > 0 && r->epoch <= m->direct_epoch)
+		return false;
+	return r->serial > t->sent_serial;
+}
+
+/* A finished entry may be dropped by the worker only when no late launch can restart it. */
+static bool may_forget(const struct fl_node *n, const struct fl_machine *m,
+		       const struct fl_report *r)
+{
+	return r->epoch >= n->lead.first_epoch && r->epoch > m->direct_epoch;
+}
+
+static bool wanted(const struct fl_job *job, const struct fl_task *t)
+{
+	return !job->aborted && t->stop == FL_STOP_NONE;
+}
+
+static double wind_down(const struct fl_job *job, const struct fl_task *t)
+{
+	if (job->aborted || job->snapshot_every_s <= 0 || t->sight == FL_SEEN_FLUSHING)
+		return 0;
+	return job->snapshot_cost_s + 1;
+}
+
+static void note_error(struct fl_node *n, struct fl_machine *m, struct fl_job *job,
+		       struct fl_task *t, double now)
+{
+	if (t->fails < 16)
+		t->fails++;
+	job->strikes++;
+	m->faults++;
+	/* A job that fails everywhere must not make every machine look faulty. */
+	if (m->faults >= choice.faults && job->strikes <= 2 * (uint32_t)choice.faults)
+		m->avoid_until = now + choice.avoid_s;
+	fl_info("workers", "%s failed on %s (machine faults %d, job strikes %u)", job->ref,
+		m->name, m->faults, job->strikes);
+	(void)n;
+}
+
+static void ended(struct fl_node *n, struct fl_machine *m, struct fl_job *job, uint32_t index,
+		  struct fl_task *t, const struct fl_part *p, double now)
+{
+	double pause = 0;
+
+	switch (p->exit) {
+	case FL_EXIT_DONE:
+		if (t->sight == FL_SEEN_RUNNING && job->expected_s > 0) {
+			double ratio = (now - t->since) / job->expected_s;
+
+			m->speed = m->speed > 0 ? 0.8 * m->speed + 0.2 * ratio : ratio;
+		}
+		job->strikes = 0;
+		m->faults = 0;
+		fl_task_done(&n->books, job, index);
+		fl_signal_wake(&n->lead.work);
+		return;
+	case FL_EXIT_STOPPED:
+		break;
+	case FL_EXIT_NO_ROOM:
+	case FL_EXIT_BUSY:
+		pause = choice.refused_s;
+		fl_info("workers", "%s refused %s/%u (%s)", m->name, job->ref, index,
+			p->exit == FL_EXIT_BUSY ? "busy" : "no room");
+		break;
+	default:
+		note_error(n, m, job, t, now);
+		pause = fmin(choice.error_most_s, choice.error_s * pow(2, t->fails - 1));
+		break;
+	}
+	fl_task_release(&n->books, job, index, pause > 0 ? now + pause : 0);
+	fl_signal_wake(&n->lead.work);
+}
+
+static enum fl_sight sight_of(enum fl_part_state s)
+{
+	return s == FL_PULLING	 ? FL_SEEN_PULLING
+	       : s == FL_FLUSHING ? FL_SEEN_FLUSHING
+				  : FL_SEEN_RUNNING;
+}
+
+/* An entry that is no current attempt: stop it if it lives, have it forgotten when that is safe. */
+static void stray(struct fl_node *n, struct fl_machine *m, struct fl_job *job,
+		  const struct fl_part *p, const struct fl_report *r, struct fl_orders *orders)
+{
+	if (p->state != FL_ENDED) {
+		m->foreign++;
+		if (orders)
+			fl_orders_add(orders, FL_KILL, p->ref, p->index, p->attempt, 0);
+		return;
+	}
+	/* Completed is completed, whichever attempt it was. */
+	if (p->exit == FL_EXIT_DONE && job && !job->aborted && p->index < job->parts &&
+	    job->kind == FL_SWEEP) {
+		struct fl_task *t = fl_task_get(job, p->index);
+
+		if (t && t->phase == FL_TASK_WAITING) {
+			fl_task_done(&n->books, job, p->index);
+			fl_signal_wake(&n->lead.work);
+		}
+	}
+	if (!may_forget(n, m, r))
+		n->lead.unforgotten++;
+	else if (orders &&
+		 (!job || p->index >= job->parts || fl_task_durable(job, p->index)))
+		fl_orders_add(orders, FL_FORGET, p->ref, p->index, p->attempt, 0);
+}
+
+static void reported_part(struct fl_node *n, struct fl_machine *m, const struct fl_part *p,
+			  const struct fl_report *r, struct fl_orders *orders, double now)
+{
+	struct fl_job *job = fl_job_find(&n->books, p->ref);
+	struct fl_task *t = job && p->index < job->parts ? fl_task_peek(job, p->index) : NULL;
+
+	if (!t || t->phase != FL_TASK_PLACED || t->machine != m->id || t->attempt != p->attempt) {
+		stray(n, m, job, p, r, orders);
+		return;
+	}
+	fl_machine_note_bundle(m, job->bundle);
+	if (p->state == FL_ENDED) {
+		ended(n, m, job, p->index, t, p, now);
+		return;
+	}
+	if (t->sight != sight_of(p->state)) {
+		fl_task_sighted(job, t, sight_of(p->state), now);
+		fl_signal_wake(&n->lead.work);
+	}
+	if (!wanted(job, t) && orders)
+		fl_orders_add(orders, FL_KILL, p->ref, p->index, p->attempt, wind_down(job, t));
+}
+
+static bool in_report(const struct fl_report *r, const struct fl_job *job, uint32_t index,
+		      uint32_t attempt)
+{
+	for (int i = 0; i < r->n_parts; i++)
+		if (r->parts[i].index == index && r->parts[i].attempt == attempt &&
+		    strcmp(r->parts[i].ref, job->ref) == 0)
+			return true;
+	return false;
+}
+
+/* Attempts that should be here and were not reported: launch, or conclude that they are not. */
+static void missing_parts(struct fl_node *n, struct fl_machine *m, const struct fl_report *r,
+			  struct fl_orders *orders, double now)
+{
+	for (int i = m->n_slots - 1; i >= 0; i--) {
+		struct fl_job *job = m->slots[i].job;
+		uint32_t index = m->slots[i].index;
+		struct fl_task *t = fl_task_peek(job, index);
+
+		if (in_report(r, job, index, t->attempt))
+			continue;
+		if (t->tenure < r->tenure) {
+			/* The session in which it was placed is over, and so is the attempt. */
+			fl_info("workers", "%s/%u lost: %s began a new session", job->ref, index,
+				m->name);
+			fl_task_release(&n->books, job, index, 0);
+			fl_signal_wake(&n->lead.work);
+			continue;
+		}
+		if (t->sight != FL_UNSEEN) {
+			/* Was seen in this session, was never forgotten, and is no more. */
+			fl_error("workers", "%s/%u vanished from %s", job->ref, index, m->name);
+			fl_task_sighted(job, t, FL_UNSEEN, now);
+		}
+		if (!wanted(job, t)) {
+			if (absence_proves(n, m, t, r)) {
+				fl_task_release(&n->books, job, index, 0);
+				fl_signal_wake(&n->lead.work);
+			} else if (m->direct_epoch >= r->epoch && m->direct_epoch > 0) {
+				n->lease.want_epoch = true;
+			}
+		} else if (orders && fl_task_durable(job, index)) {
+			fl_orders_add(orders, FL_LAUNCH, job->ref, index, t->attempt, 0);
+			t->sent_serial = r->serial;
+		}
+	}
+}
+
+static void describe(struct fl_node *n, struct fl_machine *m, const struct fl_report *r)
+{
+	int kind = fl_kind_find(&n->books.machines, r->kind);
+	int zone = fl_names_find(&n->books.zones, r->site);
+
+	fl_books_describe(&n->books, m, kind, zone, r->spot, r->endpoint);
+}
+
+int fl_reconcile_report(struct fl_node *n, const struct fl_report *r, struct fl_orders *orders)
+{
+	double now = fl_now();
+	struct fl_machine *m = fl_machine_get(&n->books.machines, r->host, now);
+	bool fresh;
+
+	if (!m || m->gone)
+		return -ENOENT;
+	if (r->epoch > n->lease.epoch)
+		return -ENOENT; /* our own epoch, being raised: the next report will do */
+	if (!newer(m, r))
+		return 0;
+	fresh = !m->up;
+	describe(n, m, r);
+	m->tenure = r->tenure;
+	m->serial = r->serial;
+	m->epoch = r->epoch;
+	m->heard = now;
+	m->up = true;
+	m->foreign = 0;
+	if (r->reclaim_in_s >= 0 && m->reclaim_at == 0) {
+		m->reclaim_at = now + r->reclaim_in_s;
+		fl_info("cloud", "%s will be taken back in %.0f s", m->name, r->reclaim_in_s);
+		fl_signal_wake(&n->lead.work);
+	}
+	for (int i = 0; i < r->n_parts; i++)
+		reported_part(n, m, &r->parts[i], r, orders, now);
+	missing_parts(n, m, r, orders, now);
+	if (fresh)
+		fl_signal_wake(&n->lead.work);
+	return 0;
+}
+
+bool fl_reconcile_direct(struct fl_node *n, struct fl_machine *m, struct fl_orders *orders)
+{
+	bool launched = false;
+
+	for (int i = 0; i < m->n_slots; i++) {
+		struct fl_job *job = m->slots[i].job;
+		uint32_t index = m->slots[i].index;
+		struct fl_task *t = fl_task_peek(job, index);
+
+		if (t->tenure != m->tenure)
+			continue;
+		if (!wanted(job, t)) {
+			fl_orders_add(orders, FL_KILL, job->ref, index, t->attempt,
+				      wind_down(job, t));
+		} else if (t->sight == FL_UNSEEN && fl_task_durable(job, index)) {
+			fl_orders_add(orders, FL_LAUNCH, job->ref, index, t->attempt, 0);
+			launched = true;
+		}
+	}
+	if (launched)
+		m->direct_epoch = n->lease.epoch;
+	return orders->n > 0;
+}
+
+void fl_reconcile_gone(struct fl_node *n, struct fl_machine *m, const char *why)
+{
+	if (m->gone)
+		return;
+	fl_info("cloud", "%s is gone: %s (%d tasks on it)", m->name, why, m->n_slots);
+	m->gone = true;
+	m->up = false;
+	while (m->n_slots > 0)
+		fl_task_release(&n->books, m->slots[0].job, m->slots[0].index, 0);
+	fl_signal_wake(&n->lead.work);
+}
--- /dev/null
+++ b/src/coordination/schedule.c
@@ -0,0 +1,543 @@
+#include "coordination/schedule.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+const struct fl_sched_params fl_sched_defaults = {
+	.alpha = 1, /* a job rises as it waits */
+	.beta = -1, /* short ones first */
+	.gamma = 1, /* wide ones first: they are hard to fit */
+	.r = 10,    /* one tier is worth ten times the wait */
+	.omega = 4, /* the finite value that did best in the paper's tables */
+	.default_est_s = 3600,
+};
+
+static const struct {
+	double eps;         /* amounts are sums of decimal fractions */
+	double zone_weight; /* s per replica already in the zone: spreading beats a fetch */
+	double odd_weight;  /* s; ordinary machine for a job that may use a cheap one */
+	double pack_weight; /* s per free accelerator left: fill machines, so that others empty */
+	double min_wait_s;  /* s; so that jobs just submitted are ordered by the other factors */
+} choice = {1e-6, 1000, 8, 1, 0.1};
+
+struct pass {
+	struct fl_sched_in *in;
+	struct fl_sched_out *out;
+	int *order, *rank;
+	double *priority;
+	/* Room that stops under way will free and that is not promised yet, per machine. */
+	double *coming_cpus, *coming_gpus, *coming_ram;
+	bool failed;
+};
+
+double fl_sched_priority(const struct fl_sched_params *p, const struct fl_sched_job *j)
+{
+	double wait = j->waited_s > choice.min_wait_s ? j->waited_s : choice.min_wait_s;
+	double est = j->est_s > 0 ? j->est_s : p->default_est_s;
+	double n = j->cpus * j->parts;
+
+	if (n <= 0)
+		n = 1;
+	return pow(wait / 3600, p->alpha) * pow(est / 3600, p->beta) * pow(n / 32, p->gamma) *
+	       pow(p->r, (int)j->tier - 1);
+}
+
+/* A service that may stop others goes ahead of them: placing it first saves the stop. */
+static bool ahead(const struct fl_sched_job *j)
+{
+	return j->standing && j->tier >= FL_URGENT;
+}
+
+/*
+ * What may stop others to get its room goes before those it may stop. Else the room that a stop
+ * has freed is taken by the next in the order, and the stops go on without end.
+ */
+static int rank_of(const struct fl_sched_in *in, const struct fl_sched_job *j)
+{
+	const struct fl_team *t = &in->teams[j->team];
+
+	if (ahead(j))
+		return 2;
+	return fl_team_within_guarantee(t, t->used_cpus + j->cpus, t->used_gpus + j->gpus);
+}
+
+static int by_priority(const void *pa, const void *pb, void *ctx)
+{
+	const struct pass *p = ctx;
+	int a = *(const int *)pa, b = *(const int *)pb;
+
+	if (p->rank[a] != p->rank[b])
+		return p->rank[b] - p->rank[a];
+	if (p->priority[a] != p->priority[b])
+		return p->priority[a] > p->priority[b] ? -1 : 1;
+	return a < b ? -1 : a > b;
+}
+
+static bool allowed(const struct fl_sched_job *j, const struct fl_sched_machine *m)
+{
+	return (j->kinds >> m->kind & 1) && (j->site < 0 || j->site == m->zone) &&
+	       (j->reclaimable || !m->spot);
+}
+
+static bool fits(const struct fl_sched_job *j, double cpus, double gpus, double ram)
+{
+	return j->cpus <= cpus + choice.eps && j->gpus <= gpus + choice.eps &&
+	       j->ram_gb <= ram + choice.eps;
+}
+
+static bool zone_ok(const struct fl_sched_job *j, int zone)
+{
+	uint32_t half = (j->parts + 1) / 2;
+
+	if (j->apart && j->zone_placed[zone] + j->zone_unknown + 1 > half)
+		return false;
+	if (!j->together)
+		return true;
+	if (j->zone_unknown > 0)
+		return false;
+	for (int z = 0; z < FL_ZONES_MAX; z++)
+		if (z != zone && j->zone_placed[z] > 0)
+			return false;
+	return true;
+}
+
+static bool team_ok(const struct fl_sched_in *in, const struct fl_sched_job *j)
+{
+	const struct fl_team *t = &in->teams[j->team];
+
+	return fl_team_within_max(t, t->used_cpus + j->cpus, t->used_gpus + j->gpus);
+}
+
+static double score(const struct fl_sched_job *j, const struct fl_sched_machine *m)
+{
+	double s = choice.pack_weight * (m->gpus - j->gpus);
+	bool cached = false;
+
+	for (int i = 0; i < FL_CACHE_NOTE && m->cache && !cached; i++)
+		cached = m->cache[i] == j->bundle;
+	if (!cached)
+		s += j->image_gb / (m->pull_gb_s > 0 ? m->pull_gb_s : 1);
+	if (j->reclaimable && !m->spot)
+		s += choice.odd_weight;
+	if (j->apart)
+		s += choice.zone_weight * j->zone_placed[m->zone];
+	return s;
+}
+
+static int best_machine(const struct fl_sched_in *in, const struct fl_sched_job *j, int zone,
+			const double *ends_by)
+{
+	double best_score = INFINITY;
+	int best = -1;
+
+	for (int i = 0; i < in->n_machines; i++) {
+		const struct fl_sched_machine *m = &in->machines[i];
+		double s;
+
+		if ((zone >= 0 && m->zone != zone) || !fits(j, m->cpus, m->gpus, m->ram_gb) ||
+		    !allowed(j, m) || !zone_ok(j, m->zone) || (ends_by && ends_by[i] < j->est_s))
+			continue;
+		s = score(j, m);
+		if (s < best_score) {
+			best_score = s;
+			best = i;
+		}
+	}
+	return best;
+}
+
+/* A job that wants one zone and has none yet takes the one where most of it fits. */
+static int pick_zone(const struct fl_sched_in *in, const struct fl_sched_job *j)
+{
+	double room[FL_ZONES_MAX] = {0};
+	int best = -1;
+
+	if (!j->together)
+		return -1;
+	for (int z = 0; z < FL_ZONES_MAX; z++)
+		if (j->zone_placed[z] > 0)
+			return z;
+	for (int i = 0; i < in->n_machines; i++) {
+		const struct fl_sched_machine *m = &in->machines[i];
+		double n = 1e9;
+
+		if (!allowed(j, m) || !fits(j, m->cpus, m->gpus, m->ram_gb))
+			continue;
+		if (j->cpus > 0)
+			n = fmin(n, floor(m->cpus / j->cpus + choice.eps));
+		if (j->gpus > 0)
+			n = fmin(n, floor(m->gpus / j->gpus + choice.eps));
+		if (j->ram_gb > 0)
+			n = fmin(n, floor(m->ram_gb / j->ram_gb + choice.eps));
+		room[m->zone] += n;
+	}
+	for (int z = 0; z < FL_ZONES_MAX; z++)
+		if (room[z] > 0 && (best < 0 || room[z] > room[best]))
+			best = z;
+	return best;
+}
+
+static bool grow(void **p, int n, int *cap, size_t size)
+{
+	int bigger = *cap ? *cap * 2 : 32;
+	void *q;
+
+	if (n < *cap)
+		return true;
+	q = realloc(*p, (size_t)bigger * size);
+	if (!q)
+		return false;
+	*p = q;
+	*cap = bigger;
+	return true;
+}
+
+static void start(struct pass *p, int job, int machine)
+{
+	struct fl_sched_job *j = &p->in->jobs[job];
+	struct fl_sched_machine *m = &p->in->machines[machine];
+	struct fl_team *t = &p->in->teams[j->team];
+
+	if (!grow((void **)&p->out->starts, p->out->n_starts, &p->out->cap_starts,
+		  sizeof(*p->out->starts))) {
+		p->failed = true;
+		return;
+	}
+	p->out->starts[p->out->n_starts++] = (struct fl_sched_start){job, machine};
+	m->cpus -= j->cpus;
+	m->gpus -= j->gpus;
+	m->ram_gb -= j->ram_gb;
+	t->used_cpus += j->cpus;
+	t->used_gpus += j->gpus;
+	j->zone_placed[m->zone]++;
+	j->waiting--;
+}
+
+/* Starts what fits now; true if room was what stopped it, not the team's limit. */
+static bool start_fitting(struct pass *p, int job, const double *ends_by)
+{
+	struct fl_sched_job *j = &p->in->jobs[job];
+	int zone = pick_zone(p->in, j);
+
+	while (j->waiting > 0 && !p->failed) {
+		int m;
+
+		if (!team_ok(p->in, j))
+			return false;
+		m = best_machine(p->in, j, zone, ends_by);
+		if (m < 0)
+			return true;
+		start(p, job, m);
+	}
+	return false;
+}
+
+/* May `j` stop `r`? By tier, or to get its team's guarantee from a team beyond its own. */
+static bool may_stop(const struct pass *p, const struct fl_sched_job *j,
+		     const struct fl_sched_run *r, bool owed)
+{
+	const struct fl_team *t;
+
+	if (r->stopping || !r->movable)
+		return false;
+	if (r->tier < j->tier)
+		return true;
+	if (!owed || r->team == j->team || r->standing)
+		return false;
+	t = &p->in->teams[r->team];
+	return !fl_team_within_guarantee(t, t->used_cpus, t->used_gpus);
+}
+
+static int by_loss(const void *pa, const void *pb, void *ctx)
+{
+	const struct fl_sched_in *in = ctx;
+	const struct fl_sched_run *a = &in->runs[*(const int *)pa];
+	const struct fl_sched_run *b = &in->runs[*(const int *)pb];
+
+	if (a->lost_s != b->lost_s)
+		return a->lost_s < b->lost_s ? -1 : 1;
+	return *(const int *)pa - *(const int *)pb;
+}
+
+/* Cheapest set of victims on one machine that makes room; INFINITY if none does. */
+static double victims_on(struct pass *p, const struct fl_sched_job *j, int machine, bool owed,
+			 int *set, int *n_set)
+{
+	const struct fl_sched_machine *m = &p->in->machines[machine];
+	double cpus = m->cpus + p->coming_cpus[machine], gpus = m->gpus + p->coming_gpus[machine];
+	double ram = m->ram_gb + p->coming_ram[machine], cost = 0;
+	int n = 0, used = 0;
+
+	for (int i = 0; i < p->in->n_runs; i++)
+		if (p->in->runs[i].machine == machine && may_stop(p, j, &p->in->runs[i], owed))
+			set[n++] = i;
+	qsort_r(set, (size_t)n, sizeof(*set), by_loss, p->in);
+	while (used < n && !fits(j, cpus, gpus, ram)) {
+		const struct fl_sched_run *r = &p->in->runs[set[used++]];
+
+		cpus += r->cpus;
+		gpus += r->gpus;
+		ram += r->ram_gb;
+		cost += r->lost_s + 1;
+	}
+	*n_set = used;
+	return fits(j, cpus, gpus, ram) ? cost : INFINITY;
+}
+
+static void stop_run(struct pass *p, int run)
+{
+	struct fl_sched_run *r = &p->in->runs[run];
+
+	if (!grow((void **)&p->out->stops, p->out->n_stops, &p->out->cap_stops,
+		  sizeof(*p->out->stops))) {
+		p->failed = true;
+		return;
+	}
+	p->out->stops[p->out->n_stops++] = run;
+	r->stopping = true;
+	p->coming_cpus[r->machine] += r->cpus;
+	p->coming_gpus[r->machine] += r->gpus;
+	p->coming_ram[r->machine] += r->ram_gb;
+}
+
+/*
+ * Promises room to one more task: what is coming free already, else the cheapest victims. The
+ * task starts in a later pass, when the stopped ones are proven gone.
+ */
+static bool claim_one(struct pass *p, struct fl_sched_job *j, bool owed)
+{
+	int *set = malloc(((size_t)p->in->n_runs + 1) * sizeof(*set));
+	double best_cost = INFINITY;
+	int best = -1, n_set;
+
+	if (!set) {
+		p->failed = true;
+		return false;
+	}
+	for (int i = 0; i < p->in->n_machines; i++) {
+		const struct fl_sched_machine *m = &p->in->machines[i];
+		double cost;
+
+		if (!allowed(j, m) || !zone_ok(j, m->zone))
+			continue;
+		cost = victims_on(p, j, i, owed, set, &n_set);
+		if (cost < INFINITY)
+			cost += score(j, m);
+		if (cost < best_cost) {
+			best_cost = cost;
+			best = i;
+		}
+	}
+	if (best >= 0) {
+		struct fl_sched_machine *m = &p->in->machines[best];
+
+		victims_on(p, j, best, owed, set, &n_set);
+		for (int k = 0; k < n_set; k++)
+			stop_run(p, set[k]);
+		/* Promised: nobody else in this pass may count on it, free part included. */
+		m->cpus -= j->cpus;
+		m->gpus -= j->gpus;
+		m->ram_gb -= j->ram_gb;
+		j->zone_placed[m->zone]++;
+	}
+	free(set);
+	return best >= 0;
+}
+
+static uint32_t claim(struct pass *p, int job)
+{
+	struct fl_sched_job *j = &p->in->jobs[job];
+	struct fl_team *t = &p->in->teams[j->team];
+	double cpus = t->used_cpus, gpus = t->used_gpus;
+	uint32_t claimed = 0;
+
+	while (claimed < j->waiting && !p->failed) {
+		bool owed = fl_team_within_guarantee(t, t->used_cpus + j->cpus,
+						     t->used_gpus + j->gpus);
+
+		if (!team_ok(p->in, j) || (!owed && j->tier == FL_BEST_EFFORT) ||
+		    !claim_one(p, j, owed))
+			break;
+		t->used_cpus += j->cpus;
+		t->used_gpus += j->gpus;
+		claimed++;
+	}
+	t->used_cpus = cpus;
+	t->used_gpus = gpus;
+	return claimed;
+}
+
+struct end {
+	double at;
+	int run;
+};
+
+static int by_end(const void *pa, const void *pb)
+{
+	const struct end *a = pa, *b = pb;
+
+	if (a->at != b->at)
+		return a->at < b->at ? -1 : 1;
+	return a->run - b->run;
+}
+
+/* Time until one task of the job fits on this machine, by the estimated ends. */
+static double wait_on(const struct pass *p, const struct fl_sched_job *j, int machine,
+		      struct end *ends)
+{
+	const struct fl_sched_machine *m = &p->in->machines[machine];
+	double cpus = m->cpus, gpus = m->gpus, ram = m->ram_gb;
+	int n = 0;
+
+	if (fits(j, cpus, gpus, ram))
+		return 0;
+	for (int i = 0; i < p->in->n_runs; i++)
+		if (p->in->runs[i].machine == machine && p->in->runs[i].left_s < INFINITY)
+			ends[n++] = (struct end){p->in->runs[i].left_s, i};
+	qsort(ends, (size_t)n, sizeof(*ends), by_end);
+	for (int i = 0; i < n; i++) {
+		const struct fl_sched_run *r = &p->in->runs[ends[i].run];
+
+		cpus += r->cpus;
+		gpus += r->gpus;
+		ram += r->ram_gb;
+		if (fits(j, cpus, gpus, ram))
+			return ends[i].at;
+	}
+	return INFINITY;
+}
+
+/*
+ * hpwait by machine, not by cores in total: room that frees in scattered pieces is no room. The
+ * window only shrinks while the same job stays on top: set anew each pass, it would never end.
+ */
+static void set_window(struct pass *p, int top)
+{
+	const struct fl_sched_job *j = &p->in->jobs[top];
+	struct end *ends = malloc(((size_t)p->in->n_runs + 1) * sizeof(*ends));
+	double hpwait = INFINITY, window;
+
+	if (!ends) {
+		p->failed = true;
+		return;
+	}
+	for (int i = 0; i < p->in->n_machines; i++)
+		if (allowed(j, &p->in->machines[i]) && zone_ok(j, p->in->machines[i].zone))
+			hpwait = fmin(hpwait, wait_on(p, j, i, ends));
+	free(ends);
+	window = p->in->params->omega * hpwait;
+	if (j->window_left >= 0 && j->window_left < window)
+		window = j->window_left;
+	p->out->top = top;
+	p->out->window_s = window;
+}
+
+/* Until when a backfilled task may run on each machine: for ever where the top job cannot go. */
+static void window_by_machine(const struct pass *p, double *ends_by)
+{
+	const struct fl_sched_job *top = &p->in->jobs[p->out->top];
+
+	for (int i = 0; i < p->in->n_machines; i++)
+		ends_by[i] = allowed(top, &p->in->machines[i]) ? p->out->window_s : INFINITY;
+}
+
+static void run_order(struct pass *p)
+{
+	struct fl_sched_in *in = p->in;
+	double *ends_by = malloc(((size_t)in->n_machines + 1) * sizeof(*ends_by));
+	int resume = in->resume < in->n_jobs ? in->resume : 0;
+
+	if (!ends_by) {
+		p->failed = true;
+		return;
+	}
+	for (int k = 0; k < in->n_jobs && !p->failed; k++) {
+		int job = p->order[k];
+		struct fl_sched_job *j = &in->jobs[job];
+		bool backfill = p->out->top >= 0, no_room;
+
+		if (j->waiting == 0)
+			continue;
+		/* The head of the order is always looked at; the rest goes on where it stopped. */
+		if (backfill && k < resume)
+			continue;
+		if (backfill && in->out_of_time && in->out_of_time(in->ctx)) {
+			p->out->resume = k;
+			break;
+		}
+		if (backfill && j->est_s <= 0 && !ahead(j) && j->standing) {
+			/* A service never ends: from the top, or where the top cannot go. */
+			j->est_s = INFINITY;
+			no_room = start_fitting(p, job, ends_by);
+			j->est_s = 0;
+		} else if (backfill && !ahead(j)) {
+			double est = j->est_s;
+
+			j->est_s = est > 0 ? est : in->params->default_est_s;
+			no_room = start_fitting(p, job, ends_by);
+			j->est_s = est;
+		} else {
+			no_room = start_fitting(p, job, NULL);
+		}
+		if (!no_room)
+			continue;
+		p->out->short_of[job] = j->waiting - claim(p, job);
+		if (p->out->short_of[job] > 0 && !backfill) {
+			set_window(p, job);
+			if (!p->failed)
+				window_by_machine(p, ends_by);
+		}
+	}
+	free(ends_by);
+}
+
+int fl_schedule(struct fl_sched_in *in, struct fl_sched_out *out)
+{
+	struct pass p = {.in = in, .out = out};
+	size_t n_m = (size_t)in->n_machines + 1, n_j = (size_t)in->n_jobs + 1;
+
+	memset(out, 0, sizeof(*out));
+	out->top = -1;
+	p.order = malloc(n_j * sizeof(*p.order));
+	p.rank = malloc(n_j * sizeof(*p.rank));
+	p.priority = malloc(n_j * sizeof(*p.priority));
+	p.coming_cpus = calloc(3 * n_m, sizeof(*p.coming_cpus));
+	out->short_of = calloc(n_j, sizeof(*out->short_of));
+	if (!p.order || !p.rank || !p.priority || !p.coming_cpus || !out->short_of) {
+		p.failed = true;
+		goto out;
+	}
+	p.coming_gpus = p.coming_cpus + n_m;
+	p.coming_ram = p.coming_gpus + n_m;
+	for (int i = 0; i < in->n_runs; i++) {
+		const struct fl_sched_run *r = &in->runs[i];
+
+		if (!r->stopping)
+			continue;
+		p.coming_cpus[r->machine] += r->cpus;
+		p.coming_gpus[r->machine] += r->gpus;
+		p.coming_ram[r->machine] += r->ram_gb;
+	}
+	for (int i = 0; i < in->n_jobs; i++) {
+		p.order[i] = i;
+		p.rank[i] = rank_of(in, &in->jobs[i]);
+		p.priority[i] = fl_sched_priority(in->params, &in->jobs[i]);
+	}
+	qsort_r(p.order, (size_t)in->n_jobs, sizeof(*p.order), by_priority, &p);
+	run_order(&p);
+out:
+	free(p.order);
+	free(p.rank);
+	free(p.priority);
+	free(p.coming_cpus);
+	return p.failed ? -1 : 0;
+}
+
+void fl_sched_free(struct fl_sched_out *out)
+{
+	free(out->starts);
+	free(out->stops);
+	free(out->short_of);
+	memset(out, 0, sizeof(*out));
+}
--- /dev/null
+++ b/src/coordination/schedule.h
@@ -0,0 +1,90 @@
+/*
+ * One scheduling pass, pure: a snapshot goes in, decisions come out. The order is the product of
+ * the relaxed backfill paper; what is added around it is explained in docs/design.md.
+ */
+#ifndef FL_COORDINATION_SCHEDULE_H
+#define FL_COORDINATION_SCHEDULE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bookkeeping/machines.h"
+#include "bookkeeping/teams.h"
+#include "protocol/users.h"
+
+struct fl_sched_params {
+	double alpha, beta, gamma, r, omega; /* the paper's */
+	double default_est_s;                /* for jobs with no estimate */
+};
+
+extern const struct fl_sched_params fl_sched_defaults;
+
+struct fl_sched_job {
+	enum fl_tier tier;
+	bool standing;
+	int team;
+	double waited_s, est_s;
+	double cpus, gpus, ram_gb, image_gb;
+	uint32_t parts, waiting; /* waiting: startable now */
+	uint32_t kinds;
+	int site;
+	bool together, apart, reclaimable;
+	uint32_t zone_placed[FL_ZONES_MAX], zone_unknown;
+	int bundle;
+	double window_left; /* remembered backfill window, s; < 0: none yet */
+};
+
+struct fl_sched_machine {
+	int kind, zone;
+	bool spot;
+	double cpus, gpus, ram_gb; /* free */
+	double pull_gb_s;
+	const int *cache; /* FL_CACHE_NOTE bundles */
+};
+
+/* An attempt that may be on a machine. */
+struct fl_sched_run {
+	int machine, team;
+	enum fl_tier tier;
+	bool standing, stopping, movable; /* movable: may be chosen as a victim at all */
+	double cpus, gpus, ram_gb;
+	double left_s; /* by its estimate; INFINITY for a service */
+	double lost_s; /* work that a stop would lose */
+};
+
+struct fl_sched_in {
+	const struct fl_sched_params *params;
+	struct fl_sched_job *jobs;
+	int n_jobs;
+	struct fl_sched_machine *machines;
+	int n_machines;
+	struct fl_sched_run *runs;
+	int n_runs;
+	struct fl_team *teams; /* a copy: used amounts are updated by the pass */
+	int n_teams, n_zones;
+	int resume;                 /* place in the order where the last pass ran out of time */
+	bool (*out_of_time)(void *); /* NULL: no budget */
+	void *ctx;
+};
+
+struct fl_sched_start {
+	int job, machine;
+};
+
+struct fl_sched_out {
+	struct fl_sched_start *starts;
+	int n_starts, cap_starts;
+	int *stops; /* indices of runs to be stopped */
+	int n_stops, cap_stops;
+	uint32_t *short_of; /* per job: tasks left without room, team limits apart */
+	int top;            /* the blocked top job; -1: none */
+	double window_s;    /* its backfill window from now on */
+	int resume;         /* 0: the pass came to its end */
+};
+
+double fl_sched_priority(const struct fl_sched_params *p, const struct fl_sched_job *j);
+/* -1 without memory. Free the result in any case. */
+int fl_schedule(struct fl_sched_in *in, struct fl_sched_out *out);
+void fl_sched_free(struct fl_sched_out *out);
+
+#endif
--- /dev/null
+++ b/src/coordination/takeover.c
@@ -0,0 +1,98 @@
+#include "coordination/takeover.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/node.h"
+#include "transport/clock.h"
+#include "transport/log.h"
+
+struct load {
+	struct fl_node *n;
+	double now;
+	int chunks, orphans, bad;
+};
+
+static void load_job(void *ctx, const struct fl_change *ch)
+{
+	struct load *l = ctx;
+	struct fl_books *b = &l->n->books;
+	const char *ref = ch->key + strlen(FL_PREFIX_JOBS);
+	struct fl_job_record rec;
+	struct fl_job *job;
+
+	if (!ch->value || fl_job_record_decode(ch->value, &rec) != 0) {
+		l->bad++;
+		return;
+	}
+	if (!rec.final) {
+		job = fl_job_add(b, &rec.run, rec.submitted, ch->rev);
+		if (job)
+			job->rev = ch->rev;
+		return;
+	}
+	/* A cancelled job whose tasks may still be about stays, to be stopped and counted. */
+	if (rec.has_run) {
+		job = fl_job_add(b, &rec.run, rec.submitted, ch->rev);
+		if (job) {
+			job->rev = ch->rev;
+			job->aborted = true;
+			job->aborted_at = l->now;
+		}
+	} else {
+		job = fl_job_find(b, ref);
+		if (job)
+			fl_job_finalise(b, job, rec.status);
+	}
+	fl_final_add(b, ref, rec.status, rec.parts);
+}
+
+static void load_chunk(void *ctx, const struct fl_change *ch)
+{
+	struct load *l = ctx;
+	char ref[FL_REF_MAX];
+	uint32_t chunk;
+	struct fl_job *job;
+
+	if (fl_key_chunk_parse(ch->key, ref, &chunk) != 0) {
+		l->bad++;
+		return;
+	}
+	job = fl_job_find(&l->n->books, ref);
+	if (!job) {
+		l->orphans++; /* left behind by a final write that had too many to delete */
+		return;
+	}
+	if (fl_chunk_restore(&l->n->books, job, chunk, ch->value, ch->rev, l->now) != 0) {
+		fl_error("takeover", "%s: cannot be read", ch->key);
+		l->bad++;
+	}
+	l->chunks++;
+}
+
+int fl_takeover_load(struct fl_node *n)
+{
+	struct load l = {.n = n, .now = fl_now()};
+	struct fl_job *job, *tmp;
+	uint64_t rev;
+	int rc, jobs = 0;
+
+	fl_books_forget_tasks(&n->books);
+	n->books.leading = true;
+	rc = fl_state_list(&n->state, FL_PREFIX_JOBS, load_job, &l, &rev);
+	if (!rc)
+		rc = fl_state_list(&n->state, FL_PREFIX_PROGRESS, load_chunk, &l, &rev);
+	if (rc)
+		return rc;
+	if (l.bad) {
+		/* Something may be on a machine that could not be read: nothing may be decided. */
+		fl_error("takeover", "%d records cannot be read", l.bad);
+		return -EPROTO;
+	}
+	HASH_ITER(hh, n->books.jobs, job, tmp)
+		jobs++;
+	fl_info("takeover", "%d jobs, %d progress records, %d left over; took %.2f s", jobs,
+		l.chunks, l.orphans, fl_now() - l.now);
+	return 0;
+}
--- /dev/null
+++ b/src/coordination/takeover.h
@@ -0,0 +1,10 @@
+/* From records to a picture: what a new leader does before it decides anything. */
+#ifndef FL_COORDINATION_TAKEOVER_H
+#define FL_COORDINATION_TAKEOVER_H
+
+struct fl_node;
+
+/* Loads jobs and progress; 0, or an errno after which it must be tried again from the start. */
+int fl_takeover_load(struct fl_node *n);
+
+#endif
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,88 @@
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config.h"
+#include "coordination/node.h"
+#include "transport/log.h"
+#include "transport/routine.h"
+
+enum { EXIT_USAGE = 2 };
+
+const char *argp_program_version = "fawnlead " FL_VERSION;
+
+struct args {
+	const char *config;
+	bool check;
+};
+
+static const struct argp_option options[] = {
+	{"config", 'c', "FILE", 0, "Settings file (TOML); required", 0},
+	{"check-config", 'n', NULL, 0, "Check the settings file and exit", 0},
+	{0},
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct args *a = state->input;
+
+	switch (key) {
+	case 'c':
+		a->config = arg;
+		return 0;
+	case 'n':
+		a->check = true;
+		return 0;
+	case ARGP_KEY_ARG:
+		argp_error(state, "unexpected argument '%s'", arg);
+		return 0;
+	case ARGP_KEY_END:
+		if (!a->config)
+			argp_error(state, "--config FILE is required");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp parser = {
+	.options = options,
+	.parser = parse,
+	.doc = "A cluster scheduler: one controller of a fawnlead service.\v"
+	       "Variables: LOG_LEVEL is error, info (the default) or debug.",
+};
+
+int main(int argc, char **argv)
+{
+	const char *level = getenv("LOG_LEVEL");
+	static struct fl_config config;
+	struct args args = {0};
+	char error[512];
+
+	argp_err_exit_status = EXIT_USAGE;
+	argp_parse(&parser, argc, argv, 0, NULL, &args);
+	if (level && fl_log_set_level(level) != 0) {
+		fprintf(stderr, "fawnlead: LOG_LEVEL: must be error, info or debug, not '%s'\n",
+			level);
+		return EXIT_USAGE;
+	}
+	if (fl_config_read(args.config, &config, error, sizeof(error)) != 0) {
+		fprintf(stderr, "fawnlead: %s\n", error);
+		return EXIT_USAGE;
+	}
+	if (args.check) {
+		printf("%s: good\n", args.config);
+		return 0;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	fl_routines_init(ev_default_loop(EVFLAG_AUTO));
+	if (fl_node_start(&config) != 0) {
+		fprintf(stderr, "fawnlead: %s: cannot listen on bind or cluster_listen\n",
+			args.config);
+		return 1;
+	}
+	fl_routines_run();
+	return 0;
+}
--- /dev/null
+++ b/src/protocol/cloud.c
@@ -0,0 +1,206 @@
+#include "protocol/cloud.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const struct {
+	double timeout_s; /* s; the cloud is slow at times, and a rental may be carried out late */
+} choice = {4.0};
+
+static int call(struct fl_cloud *c, const char *method, const char *path, cJSON *body, cJSON **out,
+		int *status)
+{
+	char *text = body ? fl_json_take(body) : NULL;
+	struct fl_reply reply;
+	int rc = fl_http_call(&c->http, method, path, text, choice.timeout_s, &reply);
+
+	free(text);
+	if (rc)
+		return rc;
+	*status = reply.status;
+	*out = fl_json_parse(reply.body.data, reply.body.len);
+	fl_buf_free(&reply.body);
+	if (*status == 429 || *status == 503)
+		rc = -EAGAIN;
+	else if (*status != 200)
+		rc = -EPROTO;
+	return rc;
+}
+
+static int decode_kind(const cJSON *e, struct fl_host_kind *k)
+{
+	const cJSON *sites = fl_json_get(e, "Sites"), *s;
+
+	if (fl_json_str(e, "Name", k->name, sizeof(k->name)) != FL_FIELD_OK ||
+	    fl_json_amount(e, "Vcpus", &k->cpus) != FL_FIELD_OK ||
+	    fl_json_amount(e, "Accelerators", &k->gpus) != FL_FIELD_OK ||
+	    fl_json_amount(e, "RamGb", &k->ram_gb) != FL_FIELD_OK ||
+	    fl_json_amount(e, "Price", &k->price) != FL_FIELD_OK ||
+	    fl_json_amount(e, "ReadyS", &k->ready_s) != FL_FIELD_OK || !cJSON_IsArray(sites))
+		return -EPROTO;
+	k->spot_price = k->price;
+	k->pull_gb_s = 1.0;
+	if (fl_json_amount(e, "SpotPrice", &k->spot_price) == FL_FIELD_BAD ||
+	    fl_json_amount(e, "PullGbPerS", &k->pull_gb_s) == FL_FIELD_BAD ||
+	    fl_json_amount(e, "LocalGb", &k->cache_gb) == FL_FIELD_BAD)
+		return -EPROTO;
+	if (k->pull_gb_s <= 0)
+		k->pull_gb_s = 1.0;
+	cJSON_ArrayForEach(s, sites) {
+		if (!cJSON_IsString(s) || strlen(s->valuestring) >= FL_NAME_MAX ||
+		    k->n_sites == FL_SITES_MAX)
+			return -EPROTO;
+		strcpy(k->sites[k->n_sites++], s->valuestring);
+	}
+	return 0;
+}
+
+int fl_cloud_kinds(struct fl_cloud *c, struct fl_host_kind **out, int *n)
+{
+	cJSON *o = NULL, *e;
+	const cJSON *list;
+	int status, rc = call(c, "GET", "/machine_types", NULL, &o, &status);
+
+	*out = NULL;
+	*n = 0;
+	if (rc)
+		goto out;
+	list = fl_json_get(o, "HostKinds");
+	rc = -EPROTO;
+	if (!cJSON_IsArray(list) || cJSON_GetArraySize(list) == 0)
+		goto out;
+	*out = calloc((size_t)cJSON_GetArraySize(list), sizeof(**out));
+	if (!*out)
+		goto out;
+	cJSON_ArrayForEach(e, list) {
+		rc = decode_kind(e, &(*out)[*n]);
+		if (rc)
+			break;
+		(*n)++;
+	}
+	if (rc) {
+		free(*out);
+		*out = NULL;
+		*n = 0;
+	}
+out:
+	cJSON_Delete(o);
+	return rc;
+}
+
+int fl_cloud_rent(struct fl_cloud *c, const char *request, const char *kind, const char *site,
+		  bool spot, int count, char (**hosts)[FL_NAME_MAX], int *n)
+{
+	cJSON *body = cJSON_CreateObject(), *o = NULL, *e;
+	const cJSON *list;
+	int status = 0, rc;
+
+	*hosts = NULL;
+	*n = 0;
+	cJSON_AddStringToObject(body, "Rental", request);
+	cJSON_AddStringToObject(body, "HostKind", kind);
+	cJSON_AddStringToObject(body, "Site", site);
+	cJSON_AddBoolToObject(body, "Reclaimable", spot);
+	cJSON_AddNumberToObject(body, "Count", count);
+	rc = call(c, "POST", "/rentals", body, &o, &status);
+	if (rc == -EAGAIN && status == 503) {
+		char why[64] = "";
+
+		fl_json_str(o, "error", why, sizeof(why));
+		if (strcmp(why, "no capacity") == 0)
+			rc = -ENOSPC;
+	}
+	if (rc)
+		goto out;
+	list = fl_json_get(o, "Hosts");
+	rc = -EPROTO;
+	if (!cJSON_IsArray(list))
+		goto out;
+	rc = 0;
+	*hosts = calloc((size_t)cJSON_GetArraySize(list) + 1, sizeof(**hosts));
+	if (!*hosts) {
+		rc = -ENOMEM;
+		goto out;
+	}
+	cJSON_ArrayForEach(e, list)
+		if (cJSON_IsString(e) && strlen(e->valuestring) < FL_NAME_MAX)
+			strcpy((*hosts)[(*n)++], e->valuestring);
+out:
+	cJSON_Delete(o);
+	return rc;
+}
+
+int fl_cloud_delete(struct fl_cloud *c, const char *const *hosts, int n)
+{
+	cJSON *body = cJSON_CreateObject(), *o = NULL;
+	int status, rc;
+
+	cJSON_AddItemToObject(body, "Hosts", cJSON_CreateStringArray(hosts, n));
+	rc = call(c, "POST", "/rentals/delete", body, &o, &status);
+	cJSON_Delete(o);
+	return rc;
+}
+
+static int decode_listed(const cJSON *e, struct fl_listed *l)
+{
+	char status[32];
+
+	if (fl_json_str(e, "Ref", l->host, sizeof(l->host)) != FL_FIELD_OK || !l->host[0] ||
+	    fl_json_str(e, "HostKind", l->kind, sizeof(l->kind)) != FL_FIELD_OK ||
+	    fl_json_str(e, "Site", l->site, sizeof(l->site)) != FL_FIELD_OK ||
+	    fl_json_bool(e, "Reclaimable", &l->spot) != FL_FIELD_OK ||
+	    fl_json_str(e, "Status", status, sizeof(status)) != FL_FIELD_OK)
+		return -EPROTO;
+	fl_json_str(e, "Endpoint", l->endpoint, sizeof(l->endpoint));
+	fl_json_amount(e, "AgeS", &l->age_s);
+	l->status = strcmp(status, "failed") == 0    ? FL_HOST_FAILED
+		    : strcmp(status, "booting") == 0 ? FL_HOST_BOOTING
+						     : FL_HOST_RUNNING;
+	return 0;
+}
+
+int fl_cloud_list(struct fl_cloud *c, const char *from, struct fl_listed **out, int *n, bool *more)
+{
+	char path[FL_NAME_MAX + 64];
+	cJSON *o = NULL, *e;
+	const cJSON *list;
+	int status, rc;
+
+	*out = NULL;
+	*n = 0;
+	*more = false;
+	if (from && *from)
+		snprintf(path, sizeof(path), "/rentals?From=%s&Page=%d", from, FL_LIST_PAGE);
+	else
+		snprintf(path, sizeof(path), "/rentals?Page=%d", FL_LIST_PAGE);
+	rc = call(c, "GET", path, NULL, &o, &status);
+	if (rc)
+		goto out;
+	list = fl_json_get(o, "Hosts");
+	rc = cJSON_IsArray(list) ? 0 : -EPROTO;
+	if (rc)
+		goto out;
+	*out = calloc((size_t)cJSON_GetArraySize(list) + 1, sizeof(**out));
+	if (!*out) {
+		rc = -ENOMEM;
+		goto out;
+	}
+	cJSON_ArrayForEach(e, list) {
+		rc = decode_listed(e, &(*out)[*n]);
+		/* A list read in part would make machines look gone. */
+		if (rc)
+			break;
+		(*n)++;
+	}
+	fl_json_bool(o, "More", more);
+	if (rc) {
+		free(*out);
+		*out = NULL;
+		*n = 0;
+	}
+out:
+	cJSON_Delete(o);
+	return rc;
+}
--- /dev/null
+++ b/src/protocol/cloud.h
@@ -0,0 +1,38 @@
+/* Dealings with the cloud that rents machines. */
+#ifndef FL_PROTOCOL_CLOUD_H
+#define FL_PROTOCOL_CLOUD_H
+
+#include "protocol/users.h"
+#include "transport/http_client.h"
+
+enum { FL_RENT_MAX = 50, FL_DELETE_MAX = 100, FL_LIST_PAGE = 500, FL_SITES_MAX = 8 };
+
+struct fl_host_kind {
+	char name[FL_NAME_MAX];
+	double cpus, gpus, ram_gb, cache_gb, pull_gb_s, price, spot_price, ready_s;
+	char sites[FL_SITES_MAX][FL_NAME_MAX];
+	int n_sites;
+};
+
+enum fl_host_status { FL_HOST_BOOTING, FL_HOST_RUNNING, FL_HOST_FAILED };
+
+struct fl_listed {
+	char host[FL_NAME_MAX], endpoint[FL_NAME_MAX], kind[FL_NAME_MAX], site[FL_NAME_MAX];
+	bool spot;
+	enum fl_host_status status;
+	double age_s;
+};
+
+struct fl_cloud {
+	struct fl_http_client http;
+};
+
+/* All return 0 on success, -EAGAIN when refused for now (429, 503), other errnos when unknown. */
+int fl_cloud_kinds(struct fl_cloud *c, struct fl_host_kind **out, int *n);
+/* -ENOSPC: no capacity. On success `*hosts` holds `*n` names to free. */
+int fl_cloud_rent(struct fl_cloud *c, const char *request, const char *kind, const char *site,
+		  bool spot, int count, char (**hosts)[FL_NAME_MAX], int *n);
+int fl_cloud_delete(struct fl_cloud *c, const char *const *hosts, int n);
+int fl_cloud_list(struct fl_cloud *c, const char *from, struct fl_listed **out, int *n, bool *more);
+
+#endif
--- /dev/null
+++ b/src/protocol/json.c
@@ -0,0 +1,122 @@
+#include "protocol/json.h"
+
+#include <math.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+static const struct {
+	int depth;    /* levels; cJSON recurses, and a routine's stack is small */
+	double exact; /* largest integer that a double holds exactly */
+} choice = {32, 9007199254740992.0};
+
+static bool shallow(const char *s, size_t len)
+{
+	bool in_string = false;
+	int depth = 0;
+
+	for (size_t i = 0; i < len; i++) {
+		char c = s[i];
+
+		if (in_string) {
+			if (c == '\\')
+				i++;
+			else if (c == '"')
+				in_string = false;
+		} else if (c == '"') {
+			in_string = true;
+		} else if (c == '[' || c == '{') {
+			if (++depth > choice.depth)
+				return false;
+		} else if (c == ']' || c == '}') {
+			depth--;
+		}
+	}
+	return true;
+}
+
+cJSON *fl_json_parse(const char *text, size_t len)
+{
+	/* An embedded NUL would end the text early and hide what follows. */
+	if (memchr(text, 0, len) || !shallow(text, len))
+		return NULL;
+	return cJSON_ParseWithLengthOpts(text, len + 1, NULL, 1);
+}
+
+const cJSON *fl_json_get(const cJSON *o, const char *key)
+{
+	const cJSON *v = cJSON_GetObjectItemCaseSensitive(o, key);
+
+	return v && !cJSON_IsNull(v) ? v : NULL;
+}
+
+enum fl_field fl_json_str(const cJSON *o, const char *key, char *out, size_t cap)
+{
+	const cJSON *v = fl_json_get(o, key);
+
+	if (!v)
+		return FL_FIELD_ABSENT;
+	if (!cJSON_IsString(v) || strlen(v->valuestring) >= cap)
+		return FL_FIELD_BAD;
+	strcpy(out, v->valuestring);
+	return FL_FIELD_OK;
+}
+
+enum fl_field fl_json_amount(const cJSON *o, const char *key, double *out)
+{
+	const cJSON *v = fl_json_get(o, key);
+
+	if (!v)
+		return FL_FIELD_ABSENT;
+	if (!cJSON_IsNumber(v) || !isfinite(v->valuedouble) || v->valuedouble < 0 ||
+	    v->valuedouble > 1e12)
+		return FL_FIELD_BAD;
+	*out = v->valuedouble;
+	return FL_FIELD_OK;
+}
+
+enum fl_field fl_json_count(const cJSON *o, const char *key, uint64_t *out)
+{
+	const cJSON *v = fl_json_get(o, key);
+
+	if (!v)
+		return FL_FIELD_ABSENT;
+	if (!cJSON_IsNumber(v) || !(v->valuedouble >= 0) || v->valuedouble > choice.exact ||
+	    v->valuedouble != floor(v->valuedouble))
+		return FL_FIELD_BAD;
+	*out = (uint64_t)v->valuedouble;
+	return FL_FIELD_OK;
+}
+
+enum fl_field fl_json_bool(const cJSON *o, const char *key, bool *out)
+{
+	const cJSON *v = fl_json_get(o, key);
+
+	if (!v)
+		return FL_FIELD_ABSENT;
+	if (!cJSON_IsBool(v))
+		return FL_FIELD_BAD;
+	*out = cJSON_IsTrue(v);
+	return FL_FIELD_OK;
+}
+
+char *fl_json_take(cJSON *o)
+{
+	char *s = cJSON_PrintUnformatted(o);
+
+	cJSON_Delete(o);
+	return s;
+}
+
+char *fl_json_error(const char *fmt, ...)
+{
+	cJSON *o = cJSON_CreateObject();
+	char text[256];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	cJSON_AddStringToObject(o, "error", text);
+	return fl_json_take(o);
+}
--- /dev/null
+++ b/src/protocol/json.h
@@ -0,0 +1,23 @@
+/* Typed reading of cJSON trees: every field is checked for type and range where it enters. */
+#ifndef FL_PROTOCOL_JSON_H
+#define FL_PROTOCOL_JSON_H
+
+#include <cjson/cJSON.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum fl_field { FL_FIELD_OK = 0, FL_FIELD_ABSENT = 1, FL_FIELD_BAD = -1 };
+
+/* Like cJSON_Parse, but whole input only and with a bound on nesting. */
+cJSON *fl_json_parse(const char *text, size_t len);
+enum fl_field fl_json_str(const cJSON *o, const char *key, char *out, size_t cap);
+enum fl_field fl_json_amount(const cJSON *o, const char *key, double *out);
+enum fl_field fl_json_count(const cJSON *o, const char *key, uint64_t *out);
+enum fl_field fl_json_bool(const cJSON *o, const char *key, bool *out);
+const cJSON *fl_json_get(const cJSON *o, const char *key);
+/* Prints and frees the tree. */
+char *fl_json_take(cJSON *o);
+char *fl_json_error(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+
+#endif
--- /dev/null
+++ b/src/protocol/users.c
@@ -0,0 +1,213 @@
+#include "protocol/users.h"
+
+#include <ctype.h>
+#include <string.h>
+
+static const char *const tier_names[] = {"best_effort", "standard", "urgent", "critical"};
+static const char *const kind_names[] = {"sweep", "standing"};
+static const char *const status_names[] = {"pending", "running", "done", "aborted"};
+
+static const char runs_path[] = "/v2/runs";
+
+const char *fl_status_name(enum fl_status status)
+{
+	return status_names[status];
+}
+
+bool fl_ref_ok(const char *ref)
+{
+	size_t n;
+
+	if (strncmp(ref, "run-", 4) != 0)
+		return false;
+	n = strspn(ref + 4, "0123456789");
+	return n >= 6 && n <= 12 && ref[4 + n] == 0;
+}
+
+static int pick(const char *name, const char *const *names, int n)
+{
+	for (int i = 0; i < n; i++)
+		if (strcmp(name, names[i]) == 0)
+			return i;
+	return -1;
+}
+
+static bool name_ok(const char *s)
+{
+	if (!*s)
+		return false;
+	for (; *s; s++)
+		if (iscntrl((unsigned char)*s))
+			return false;
+	return true;
+}
+
+static bool get_name(const cJSON *o, const char *key, char out[FL_NAME_MAX])
+{
+	return fl_json_str(o, key, out, FL_NAME_MAX) == FL_FIELD_OK && name_ok(out);
+}
+
+static bool get_kinds(const cJSON *o, struct fl_run *out)
+{
+	const cJSON *v = fl_json_get(o, "HostKinds"), *e;
+
+	out->n_host_kinds = -1;
+	if (!v)
+		return true;
+	if (!cJSON_IsArray(v) || cJSON_GetArraySize(v) > FL_KINDS_MAX)
+		return false;
+	out->n_host_kinds = 0;
+	cJSON_ArrayForEach(e, v) {
+		if (!cJSON_IsString(e) || strlen(e->valuestring) >= FL_NAME_MAX)
+			return false;
+		strcpy(out->host_kinds[out->n_host_kinds++], e->valuestring);
+	}
+	return true;
+}
+
+static const char *decode_amounts(const cJSON *o, struct fl_run *out)
+{
+	const struct {
+		const char *key;
+		double *to;
+	} amounts[] = {
+		{"Vcpus", &out->cpus},
+		{"Accelerators", &out->gpus},
+		{"RamGb", &out->ram_gb},
+		{"ImageGb", &out->image_gb},
+		{"ExpectedS", &out->expected_s},
+		{"SnapshotEveryS", &out->snapshot_every_s},
+		{"SnapshotCostS", &out->snapshot_cost_s},
+	};
+	enum fl_field f;
+
+	for (size_t i = 0; i < sizeof(amounts) / sizeof(amounts[0]); i++)
+		if (fl_json_amount(o, amounts[i].key, amounts[i].to) != FL_FIELD_OK)
+			return amounts[i].key;
+	f = fl_json_amount(o, "DueS", &out->due_s);
+	if (f == FL_FIELD_ABSENT)
+		out->due_s = -1;
+	return f == FL_FIELD_BAD ? "DueS" : NULL;
+}
+
+const char *fl_run_decode(const cJSON *o, struct fl_run *out)
+{
+	char word[FL_NAME_MAX];
+	enum fl_field f;
+	uint64_t n;
+	int k;
+
+	memset(out, 0, sizeof(*out));
+	if (fl_json_str(o, "Ref", out->ref, sizeof(out->ref)) != FL_FIELD_OK ||
+	    !fl_ref_ok(out->ref)) {
+		out->ref[0] = 0;
+		return "Ref";
+	}
+	if (!get_name(o, "JobClass", out->job_class))
+		return "JobClass";
+	if (!get_name(o, "Owner", out->owner))
+		return "Owner";
+	if (fl_json_str(o, "JobKind", word, sizeof(word)) != FL_FIELD_OK ||
+	    (k = pick(word, kind_names, 2)) < 0)
+		return "JobKind";
+	out->kind = (enum fl_job_kind)k;
+	if (fl_json_str(o, "Tier", word, sizeof(word)) != FL_FIELD_OK ||
+	    (k = pick(word, tier_names, 4)) < 0)
+		return "Tier";
+	out->tier = (enum fl_tier)k;
+	if (fl_json_count(o, "Parts", &n) != FL_FIELD_OK || n < 1 || n > FL_PARTS_MAX)
+		return "Parts";
+	out->parts = (uint32_t)n;
+	if (!get_name(o, "Bundle", out->bundle))
+		return "Bundle";
+	if (!get_kinds(o, out))
+		return "HostKinds";
+	f = fl_json_str(o, "Site", out->site, sizeof(out->site));
+	if (f == FL_FIELD_BAD)
+		return "Site";
+	out->has_site = f == FL_FIELD_OK;
+	if (fl_json_bool(o, "Together", &out->together) != FL_FIELD_OK)
+		return "Together";
+	if (fl_json_bool(o, "Apart", &out->apart) != FL_FIELD_OK)
+		return "Apart";
+	if (fl_json_bool(o, "Reclaimable", &out->reclaimable) != FL_FIELD_OK)
+		return "Reclaimable";
+	return decode_amounts(o, out);
+}
+
+cJSON *fl_run_encode(const struct fl_run *r)
+{
+	cJSON *o = cJSON_CreateObject(), *kinds;
+
+	cJSON_AddStringToObject(o, "Ref", r->ref);
+	cJSON_AddStringToObject(o, "JobClass", r->job_class);
+	cJSON_AddStringToObject(o, "Owner", r->owner);
+	cJSON_AddStringToObject(o, "JobKind", kind_names[r->kind]);
+	cJSON_AddStringToObject(o, "Tier", tier_names[r->tier]);
+	cJSON_AddNumberToObject(o, "Parts", r->parts);
+	cJSON_AddNumberToObject(o, "Vcpus", r->cpus);
+	cJSON_AddNumberToObject(o, "Accelerators", r->gpus);
+	cJSON_AddNumberToObject(o, "RamGb", r->ram_gb);
+	cJSON_AddStringToObject(o, "Bundle", r->bundle);
+	cJSON_AddNumberToObject(o, "ImageGb", r->image_gb);
+	if (r->n_host_kinds >= 0) {
+		kinds = cJSON_AddArrayToObject(o, "HostKinds");
+		for (int i = 0; i < r->n_host_kinds; i++)
+			cJSON_AddItemToArray(kinds, cJSON_CreateString(r->host_kinds[i]));
+	}
+	if (r->has_site)
+		cJSON_AddStringToObject(o, "Site", r->site);
+	cJSON_AddBoolToObject(o, "Together", r->together);
+	cJSON_AddBoolToObject(o, "Apart", r->apart);
+	cJSON_AddBoolToObject(o, "Reclaimable", r->reclaimable);
+	cJSON_AddNumberToObject(o, "ExpectedS", r->expected_s);
+	cJSON_AddNumberToObject(o, "SnapshotEveryS", r->snapshot_every_s);
+	cJSON_AddNumberToObject(o, "SnapshotCostS", r->snapshot_cost_s);
+	if (r->due_s >= 0)
+		cJSON_AddNumberToObject(o, "DueS", r->due_s);
+	return o;
+}
+
+char *fl_status_encode(const char *ref, enum fl_status status, int64_t done, int64_t running)
+{
+	cJSON *o = cJSON_CreateObject();
+
+	cJSON_AddStringToObject(o, "Ref", ref);
+	cJSON_AddStringToObject(o, "Status", status_names[status]);
+	if (done >= 0) {
+		cJSON_AddNumberToObject(o, "done", (double)done);
+		cJSON_AddNumberToObject(o, "running", (double)running);
+	}
+	return fl_json_take(o);
+}
+
+enum fl_user_call fl_user_route(const char *path, char ref[FL_REF_MAX])
+{
+	size_t root = sizeof(runs_path) - 1, n;
+	const char *id, *end;
+
+	ref[0] = 0;
+	if (strcmp(path, "/hello") == 0)
+		return FL_CALL_REPORT;
+	if (strcmp(path, "/ready") == 0)
+		return FL_CALL_READY;
+	if (strncmp(path, runs_path, root) != 0)
+		return FL_CALL_NONE;
+	if (path[root] == 0)
+		return FL_CALL_SUBMIT;
+	if (path[root] != '/')
+		return FL_CALL_NONE;
+	id = path + root + 1;
+	end = strchr(id, '/');
+	n = end ? (size_t)(end - id) : strlen(id);
+	if (end && strcmp(end, "/cancel") != 0)
+		return FL_CALL_NONE;
+	/* An id that no job can have is a job nobody submitted: found, but with no ref. */
+	if (n > 0 && n < FL_REF_MAX) {
+		memcpy(ref, id, n);
+		ref[n] = 0;
+		if (!fl_ref_ok(ref))
+			ref[0] = 0;
+	}
+	return end ? FL_CALL_CANCEL : FL_CALL_POLL;
+}
--- /dev/null
+++ b/src/protocol/users.h
@@ -0,0 +1,39 @@
+/* What users send and are told. */
+#ifndef FL_PROTOCOL_USERS_H
+#define FL_PROTOCOL_USERS_H
+
+#include "protocol/json.h"
+
+enum { FL_NAME_MAX = 64, FL_REF_MAX = 24, FL_KINDS_MAX = 16, FL_PARTS_MAX = 100000 };
+
+enum fl_job_kind { FL_SWEEP, FL_STANDING };
+/* In rising order; the exponent of the priority's queue factor is tier - 1. */
+enum fl_tier { FL_BEST_EFFORT, FL_STANDARD, FL_URGENT, FL_CRITICAL };
+enum fl_status { FL_PENDING, FL_RUNNING, FL_DONE, FL_ABORTED };
+
+struct fl_run {
+	char ref[FL_REF_MAX];
+	char job_class[FL_NAME_MAX], owner[FL_NAME_MAX], bundle[FL_NAME_MAX], site[FL_NAME_MAX];
+	char host_kinds[FL_KINDS_MAX][FL_NAME_MAX];
+	int n_host_kinds; /* -1: any */
+	enum fl_job_kind kind;
+	enum fl_tier tier;
+	uint32_t parts;
+	double cpus, gpus, ram_gb, image_gb;
+	double expected_s, snapshot_every_s, snapshot_cost_s, due_s; /* due_s < 0: none */
+	bool has_site, together, apart, reclaimable;
+};
+
+bool fl_ref_ok(const char *ref);
+/* Returns NULL, or the name of the first bad field. */
+const char *fl_run_decode(const cJSON *o, struct fl_run *out);
+cJSON *fl_run_encode(const struct fl_run *run);
+char *fl_status_encode(const char *ref, enum fl_status status, int64_t done, int64_t running);
+const char *fl_status_name(enum fl_status status);
+
+/* The users' paths, taken apart. */
+enum fl_user_call { FL_CALL_NONE, FL_CALL_SUBMIT, FL_CALL_POLL, FL_CALL_CANCEL, FL_CALL_READY,
+		    FL_CALL_REPORT };
+enum fl_user_call fl_user_route(const char *path, char ref[FL_REF_MAX]);
+
+#endif
--- /dev/null
+++ b/src/protocol/workers.c
@@ -0,0 +1,232 @@
+#include "protocol/workers.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const state_names[] = {"pulling", "running", "flushing", "ended"};
+static const char *const exit_names[] = {"done", "stopped", "error", "no_room", "busy", "no_such"};
+static const char *const verb_names[] = {"launch", "kill", "forget"};
+
+static int find(const char *s, const char *const *names, int n)
+{
+	for (int i = 0; i < n; i++)
+		if (strcmp(s, names[i]) == 0)
+			return i;
+	return -1;
+}
+
+/* "run-000412/3" */
+static int split_part(const char *name, struct fl_part *p)
+{
+	const char *slash = strchr(name, '/');
+	char *end;
+	unsigned long index;
+
+	if (!slash || (size_t)(slash - name) >= sizeof(p->ref) || slash[1] < '0' || slash[1] > '9')
+		return -EPROTO;
+	memcpy(p->ref, name, (size_t)(slash - name));
+	p->ref[slash - name] = 0;
+	index = strtoul(slash + 1, &end, 10);
+	if (*end || index >= FL_PARTS_MAX || !fl_ref_ok(p->ref))
+		return -EPROTO;
+	p->index = (uint32_t)index;
+	return 0;
+}
+
+static int decode_part(const cJSON *e, struct fl_part *p)
+{
+	char name[FL_REF_MAX + 16], word[32];
+	uint64_t attempt;
+	int k;
+
+	if (fl_json_str(e, "Part", name, sizeof(name)) != FL_FIELD_OK || split_part(name, p) != 0)
+		return -EPROTO;
+	if (fl_json_count(e, "Try", &attempt) != FL_FIELD_OK || attempt > UINT32_MAX)
+		return -EPROTO;
+	p->attempt = (uint32_t)attempt;
+	if (fl_json_str(e, "Status", word, sizeof(word)) != FL_FIELD_OK)
+		return -EPROTO;
+	k = find(word, state_names, 4);
+	if (k < 0)
+		return -EPROTO;
+	p->state = (enum fl_part_state)k;
+	p->exit = FL_EXIT_OTHER;
+	if (fl_json_str(e, "ExitReason", word, sizeof(word)) == FL_FIELD_OK) {
+		k = find(word, exit_names, 6);
+		if (k >= 0)
+			p->exit = (enum fl_exit)k;
+	}
+	fl_json_bool(e, "Saved", &p->saved);
+	return 0;
+}
+
+static int decode_parts(const cJSON *list, struct fl_report *out)
+{
+	const cJSON *e;
+	int n = cJSON_GetArraySize(list);
+
+	if (n == 0)
+		return 0;
+	out->parts = calloc((size_t)n, sizeof(*out->parts));
+	if (!out->parts)
+		return -ENOMEM;
+	cJSON_ArrayForEach(e, list) {
+		int rc = decode_part(e, &out->parts[out->n_parts]);
+
+		if (rc)
+			return rc;
+		out->n_parts++;
+	}
+	return 0;
+}
+
+static int decode_tree(const cJSON *o, struct fl_report *out)
+{
+	const cJSON *list = fl_json_get(o, "Parts");
+	enum fl_field f;
+
+	if (fl_json_str(o, "Host", out->host, sizeof(out->host)) != FL_FIELD_OK || !out->host[0] ||
+	    fl_json_str(o, "Endpoint", out->endpoint, sizeof(out->endpoint)) != FL_FIELD_OK ||
+	    fl_json_str(o, "HostKind", out->kind, sizeof(out->kind)) != FL_FIELD_OK ||
+	    fl_json_str(o, "Site", out->site, sizeof(out->site)) != FL_FIELD_OK ||
+	    fl_json_bool(o, "Reclaimable", &out->spot) != FL_FIELD_OK ||
+	    fl_json_count(o, "Tenure", &out->tenure) != FL_FIELD_OK ||
+	    fl_json_count(o, "Serial", &out->serial) != FL_FIELD_OK ||
+	    fl_json_count(o, "Epoch", &out->epoch) != FL_FIELD_OK)
+		return -EPROTO;
+	f = fl_json_amount(o, "ReclaimInS", &out->reclaim_in_s);
+	if (f != FL_FIELD_OK)
+		out->reclaim_in_s = -1;
+	if (list && !cJSON_IsArray(list))
+		return -EPROTO;
+	return list ? decode_parts(list, out) : 0;
+}
+
+int fl_report_decode(const char *body, size_t len, struct fl_report *out)
+{
+	cJSON *o = fl_json_parse(body, len);
+	int rc;
+
+	memset(out, 0, sizeof(*out));
+	rc = cJSON_IsObject(o) ? decode_tree(o, out) : -EPROTO;
+	cJSON_Delete(o);
+	if (rc)
+		fl_report_free(out);
+	return rc;
+}
+
+void fl_report_free(struct fl_report *r)
+{
+	free(r->parts);
+	r->parts = NULL;
+	r->n_parts = 0;
+}
+
+static void add_part_name(cJSON *o, const char *ref, uint32_t index)
+{
+	char name[FL_REF_MAX + 16];
+
+	snprintf(name, sizeof(name), "%s/%u", ref, index);
+	cJSON_AddStringToObject(o, "Part", name);
+}
+
+char *fl_report_encode(const struct fl_report *r)
+{
+	cJSON *o = cJSON_CreateObject(), *list;
+
+	cJSON_AddStringToObject(o, "Host", r->host);
+	cJSON_AddStringToObject(o, "Endpoint", r->endpoint);
+	cJSON_AddStringToObject(o, "HostKind", r->kind);
+	cJSON_AddStringToObject(o, "Site", r->site);
+	cJSON_AddBoolToObject(o, "Reclaimable", r->spot);
+	cJSON_AddNumberToObject(o, "Tenure", (double)r->tenure);
+	cJSON_AddNumberToObject(o, "Serial", (double)r->serial);
+	cJSON_AddNumberToObject(o, "Epoch", (double)r->epoch);
+	if (r->reclaim_in_s >= 0)
+		cJSON_AddNumberToObject(o, "ReclaimInS", r->reclaim_in_s);
+	list = cJSON_AddArrayToObject(o, "Parts");
+	for (int i = 0; i < r->n_parts; i++) {
+		const struct fl_part *p = &r->parts[i];
+		cJSON *e = cJSON_CreateObject();
+
+		add_part_name(e, p->ref, p->index);
+		cJSON_AddNumberToObject(e, "Try", p->attempt);
+		cJSON_AddStringToObject(e, "Status", state_names[p->state]);
+		if (p->state == FL_ENDED && p->exit != FL_EXIT_OTHER)
+			cJSON_AddStringToObject(e, "ExitReason", exit_names[p->exit]);
+		if (p->saved)
+			cJSON_AddBoolToObject(e, "Saved", true);
+		cJSON_AddItemToArray(list, e);
+	}
+	return fl_json_take(o);
+}
+
+void fl_orders_init(struct fl_orders *o, uint64_t epoch)
+{
+	o->root = cJSON_CreateObject();
+	cJSON_AddNumberToObject(o->root, "Epoch", (double)epoch);
+	o->list = cJSON_AddArrayToObject(o->root, "Orders");
+	o->n = 0;
+}
+
+void fl_orders_tenure(struct fl_orders *o, uint64_t tenure)
+{
+	cJSON_AddNumberToObject(o->root, "Tenure", (double)tenure);
+}
+
+void fl_orders_add(struct fl_orders *o, enum fl_verb verb, const char *ref, uint32_t index,
+		   uint32_t attempt, double wind_down_s)
+{
+	cJSON *e = cJSON_CreateObject();
+
+	cJSON_AddStringToObject(e, "Verb", verb_names[verb]);
+	add_part_name(e, ref, index);
+	cJSON_AddNumberToObject(e, "Try", attempt);
+	if (verb == FL_KILL)
+		cJSON_AddNumberToObject(e, "WindDownS", wind_down_s);
+	cJSON_AddItemToArray(o->list, e);
+	o->n++;
+}
+
+char *fl_orders_take(struct fl_orders *o)
+{
+	char *s = fl_json_take(o->root);
+
+	o->root = o->list = NULL;
+	return s;
+}
+
+int fl_worker_command(const char *endpoint, const char *body, double timeout_s,
+		      struct fl_report *out)
+{
+	struct fl_http_client c;
+	struct fl_reply reply;
+	int rc = fl_http_client_init(&c, endpoint, 0);
+
+	memset(out, 0, sizeof(*out));
+	if (rc)
+		return rc;
+	rc = fl_http_call(&c, "POST", "/commands", body, timeout_s, &reply);
+	if (rc)
+		return rc;
+	rc = reply.status;
+	if (rc == 200 || rc == 409) {
+		int bad = fl_report_decode(reply.body.data, reply.body.len, out);
+
+		if (bad)
+			rc = bad;
+	}
+	fl_buf_free(&reply.body);
+	return rc;
+}
+
+char *fl_steward_encode(const char *node)
+{
+	cJSON *o = cJSON_CreateObject();
+
+	if (node)
+		cJSON_AddStringToObject(o, "Steward", node);
+	return fl_json_take(o);
+}
--- /dev/null
+++ b/src/protocol/workers.h
@@ -0,0 +1,54 @@
+/* What workers report and are ordered to do. */
+#ifndef FL_PROTOCOL_WORKERS_H
+#define FL_PROTOCOL_WORKERS_H
+
+#include "protocol/users.h"
+#include "transport/http_client.h"
+
+enum fl_part_state { FL_PULLING, FL_EXECUTING, FL_FLUSHING, FL_ENDED };
+enum fl_exit { FL_EXIT_DONE, FL_EXIT_STOPPED, FL_EXIT_ERROR, FL_EXIT_NO_ROOM, FL_EXIT_BUSY,
+	       FL_EXIT_NO_SUCH, FL_EXIT_OTHER };
+
+struct fl_part {
+	char ref[FL_REF_MAX];
+	uint32_t index;
+	uint32_t attempt;
+	enum fl_part_state state;
+	enum fl_exit exit;
+	bool saved;
+};
+
+struct fl_report {
+	char host[FL_NAME_MAX], endpoint[FL_NAME_MAX], kind[FL_NAME_MAX], site[FL_NAME_MAX];
+	bool spot;
+	uint64_t tenure, serial, epoch;
+	double reclaim_in_s; /* < 0: no notice */
+	struct fl_part *parts;
+	int n_parts;
+};
+
+enum fl_verb { FL_LAUNCH, FL_KILL, FL_FORGET };
+
+/* Builds the answer to a report, or the body of a direct command. */
+struct fl_orders {
+	cJSON *root, *list;
+	int n;
+};
+
+/* 0, or -EPROTO with nothing held. */
+int fl_report_decode(const char *body, size_t len, struct fl_report *out);
+void fl_report_free(struct fl_report *r);
+char *fl_report_encode(const struct fl_report *r);
+
+void fl_orders_init(struct fl_orders *o, uint64_t epoch);
+void fl_orders_add(struct fl_orders *o, enum fl_verb verb, const char *ref, uint32_t index,
+		   uint32_t attempt, double wind_down_s);
+void fl_orders_tenure(struct fl_orders *o, uint64_t tenure);
+char *fl_orders_take(struct fl_orders *o);
+
+/* POST /commands: the status, or a negative errno; `out` is filled on 200 and 409. */
+int fl_worker_command(const char *endpoint, const char *body, double timeout_s,
+		      struct fl_report *out);
+char *fl_steward_encode(const char *node);
+
+#endif
--- /dev/null
+++ b/src/transport/clock.c
@@ -0,0 +1,21 @@
+#include "transport/clock.h"
+
+#include <time.h>
+
+static double read_clock(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return (double)ts.tv_sec + (double)ts.tv_nsec * 1e-9;
+}
+
+double fl_now(void)
+{
+	return read_clock(CLOCK_MONOTONIC);
+}
+
+double fl_wall(void)
+{
+	return read_clock(CLOCK_REALTIME);
+}
--- /dev/null
+++ b/src/transport/http.h
@@ -0,0 +1,38 @@
+/* What server and client share: one message read by http-parser, and buffers. */
+#ifndef FL_TRANSPORT_HTTP_H
+#define FL_TRANSPORT_HTTP_H
+
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+struct fl_buf {
+	char *data; /* always NUL-terminated when not NULL */
+	size_t len, cap;
+};
+
+int fl_buf_add(struct fl_buf *b, const void *p, size_t n);
+int fl_buf_printf(struct fl_buf *b, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+void fl_buf_free(struct fl_buf *b);
+
+struct fl_msg {
+	http_parser parser;
+	struct fl_buf url, body;
+	size_t max_body;
+	bool complete, too_large, started;
+	bool keep_alive;
+};
+
+void fl_msg_init(struct fl_msg *m, enum http_parser_type type, size_t max_body);
+void fl_msg_free(struct fl_msg *m);
+/* Reads one whole message: 0, or -ECONNRESET, -EPROTO, -EMSGSIZE, -ETIMEDOUT, -ECANCELED. */
+int fl_msg_read(struct fl_msg *m, int fd, double timeout_s);
+
+/* Writes everything before `timeout_s` is over. */
+int fl_write_all(int fd, const char *p, size_t n, double timeout_s);
+/* "1.2.3.4:80" only: there are no names on these networks. */
+int fl_parse_addr(const char *text, struct sockaddr_in *out);
+int fl_socket(void);
+
+#endif
--- /dev/null
+++ b/src/transport/http_client.h
@@ -0,0 +1,30 @@
+/* An HTTP/1.1 client for one address, with a few kept connections. */
+#ifndef FL_TRANSPORT_HTTP_CLIENT_H
+#define FL_TRANSPORT_HTTP_CLIENT_H
+
+#include "transport/http.h"
+
+enum { FL_IDLE_MAX = 8 };
+
+struct fl_http_client {
+	struct sockaddr_in addr;
+	int idle[FL_IDLE_MAX];
+	int idles;
+	int max_idle;
+};
+
+struct fl_reply {
+	int status;
+	struct fl_buf body;
+};
+
+int fl_http_client_init(struct fl_http_client *c, const char *addr, int max_idle);
+void fl_http_client_close(struct fl_http_client *c);
+/*
+ * One request, one reply: 0 and out filled (free out->body), or a negative errno. After a
+ * time-out the request may still be carried out: the caller must expect that.
+ */
+int fl_http_call(struct fl_http_client *c, const char *method, const char *path, const char *body,
+		 double timeout_s, struct fl_reply *out);
+
+#endif
--- /dev/null
+++ b/src/transport/http_server.c
@@ -0,0 +1,187 @@
+#include "transport/http_server.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "transport/log.h"
+#include "transport/routine.h"
+
+static const struct {
+	double idle_s;   /* s; a silent peer behind a cut must not hold a socket for ever */
+	double write_s;  /* s; users wait 2 to 5 s, so a longer write helps nobody */
+	size_t max_body; /* bytes; the protocol's limit */
+	double pause_s;  /* s; wait after a failed accept, so that it does not spin */
+} choice = {90.0, 5.0, 64 * 1024, 0.05};
+
+struct fl_http_server {
+	int fd;
+	int conns, max_conns;
+	fl_handler handler;
+	void *ctx;
+};
+
+struct conn {
+	struct fl_http_server *server;
+	int fd;
+};
+
+static int send_response(int fd, const struct fl_response *r, bool keep)
+{
+	const char *body = r->body ? r->body : "{}";
+	struct fl_buf out = {0};
+	int rc;
+
+	rc = fl_buf_printf(&out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", r->status,
+			   http_status_str((enum http_status)r->status));
+	if (!rc && r->retry_after_s > 0)
+		rc = fl_buf_printf(&out, "Retry-After: %d\r\n", r->retry_after_s);
+	if (!rc && !keep)
+		rc = fl_buf_printf(&out, "Connection: close\r\n");
+	if (!rc)
+		rc = fl_buf_printf(&out, "Content-Length: %zu\r\n\r\n%s", strlen(body), body);
+	if (!rc)
+		rc = fl_write_all(fd, out.data, out.len, choice.write_s);
+	fl_buf_free(&out);
+	return rc;
+}
+
+static bool serve_one(struct conn *c)
+{
+	struct fl_request req = {0};
+	struct fl_response resp = {.status = 500};
+	struct fl_msg msg;
+	bool keep = false;
+	char *query;
+	int rc;
+
+	fl_msg_init(&msg, HTTP_REQUEST, choice.max_body);
+	rc = fl_msg_read(&msg, c->fd, choice.idle_s);
+	if (rc == -EMSGSIZE || rc == -EPROTO) {
+		resp.status = rc == -EMSGSIZE ? 413 : 400;
+		resp.body = strdup(rc == -EMSGSIZE ? "{\"error\":\"body over 64 KiB\"}"
+						   : "{\"error\":\"not HTTP/1.1\"}");
+		send_response(c->fd, &resp, false);
+		/* Let the answer reach a peer that is still writing its body. */
+		shutdown(c->fd, SHUT_WR);
+		for (int i = 0; i < 200 && rc == -EMSGSIZE; i++) {
+			char sink[8192];
+			ssize_t n = recv(c->fd, sink, sizeof(sink), 0);
+
+			if (n == 0 || (n < 0 && errno != EAGAIN))
+				break;
+			if (n < 0 && fl_wait_io(c->fd, EV_READ, 1.0) != 0)
+				break;
+		}
+		goto out;
+	}
+	if (rc)
+		goto out;
+	query = strchr(msg.url.data ? msg.url.data : "", '?');
+	if (query)
+		*query = 0;
+	req.method = (enum http_method)msg.parser.method;
+	req.path = msg.url.data ? msg.url.data : "";
+	req.body = msg.body.data ? msg.body.data : "";
+	req.body_len = msg.body.len;
+	c->server->handler(c->server->ctx, &req, &resp);
+	keep = msg.keep_alive && !resp.close;
+	if (send_response(c->fd, &resp, keep) != 0)
+		keep = false;
+out:
+	free(resp.body);
+	fl_msg_free(&msg);
+	return keep;
+}
+
+static void serve_conn(void *arg)
+{
+	struct conn *c = arg;
+
+	while (!fl_cancelled() && serve_one(c))
+		;
+	close(c->fd);
+	c->server->conns--;
+	free(c);
+}
+
+static void accept_loop(void *arg)
+{
+	struct fl_http_server *s = arg;
+
+	while (!fl_cancelled()) {
+		struct conn *c;
+		int one = 1;
+		int fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0) {
+			int rc = errno == EAGAIN ? fl_wait_io(s->fd, EV_READ, -1)
+						 : fl_sleep(choice.pause_s);
+			if (rc == -ECANCELED)
+				break;
+			continue;
+		}
+		setsockopt(fd, IPPROTO_TCP, 1 /* TCP_NODELAY */, &one, sizeof(one));
+		c = s->conns < s->max_conns ? malloc(sizeof(*c)) : NULL;
+		if (c) {
+			c->server = s;
+			c->fd = fd;
+			if (fl_spawn(serve_conn, c)) {
+				s->conns++;
+				continue;
+			}
+			free(c);
+		}
+		fl_error("transport", "no room for a connection (%d open)", s->conns);
+		close(fd);
+	}
+	close(s->fd);
+	s->fd = -1;
+}
+
+struct fl_http_server *fl_http_serve(const char *addr, int max_conns, fl_handler handler, void *ctx)
+{
+	struct fl_http_server *s;
+	struct sockaddr_in sa;
+	int one = 1;
+
+	if (fl_parse_addr(addr, &sa) != 0) {
+		errno = EINVAL;
+		return NULL;
+	}
+	s = calloc(1, sizeof(*s));
+	if (!s)
+		return NULL;
+	s->handler = handler;
+	s->ctx = ctx;
+	s->max_conns = max_conns;
+	s->fd = fl_socket();
+	if (s->fd < 0)
+		goto fail;
+	setsockopt(s->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(s->fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 || listen(s->fd, 512) != 0)
+		goto fail;
+	if (!fl_spawn(accept_loop, s)) {
+		errno = ENOMEM;
+		goto fail;
+	}
+	return s;
+fail:
+	if (s->fd >= 0)
+		close(s->fd);
+	free(s);
+	return NULL;
+}
+
+int fl_http_server_port(const struct fl_http_server *s)
+{
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+
+	if (getsockname(s->fd, (struct sockaddr *)&sa, &len) != 0)
+		return -1;
+	return ntohs(sa.sin_port);
+}
--- /dev/null
+++ b/src/transport/http_server.h
@@ -0,0 +1,32 @@
+/* An HTTP/1.1 server: a routine accepts, a routine serves each connection. */
+#ifndef FL_TRANSPORT_HTTP_SERVER_H
+#define FL_TRANSPORT_HTTP_SERVER_H
+
+#include <stdbool.h>
+
+#include "transport/http.h"
+
+struct fl_request {
+	enum http_method method;
+	const char *path; /* without the query */
+	const char *body; /* NUL-terminated */
+	size_t body_len;
+};
+
+struct fl_response {
+	int status;
+	char *body;        /* owned by the response, malloc'd */
+	int retry_after_s; /* 0: no such header */
+	bool close;
+};
+
+typedef void (*fl_handler)(void *ctx, const struct fl_request *req, struct fl_response *resp);
+
+struct fl_http_server;
+
+/* Binds and serves; NULL with errno set when it cannot. */
+struct fl_http_server *fl_http_serve(const char *addr, int max_conns, fl_handler handler,
+				     void *ctx);
+int fl_http_server_port(const struct fl_http_server *s);
+
+#endif
--- /dev/null
+++ b/src/transport/log.h
@@ -0,0 +1,25 @@
+/* Levelled logging to standard error, one line shape: "LEVEL area: text". */
+#ifndef FL_TRANSPORT_LOG_H
+#define FL_TRANSPORT_LOG_H
+
+enum fl_log_level { FL_LOG_ERROR, FL_LOG_INFO, FL_LOG_DEBUG };
+
+/* Returns 0, or -EINVAL for a level that does not exist. */
+int fl_log_set_level(const char *name);
+int fl_log_on(enum fl_log_level level);
+void fl_log(enum fl_log_level level, const char *area, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+#define fl_error(area, ...) fl_log(FL_LOG_ERROR, area, __VA_ARGS__)
+#define fl_info(area, ...)                                                                         \
+	do {                                                                                       \
+		if (fl_log_on(FL_LOG_INFO))                                                        \
+			fl_log(FL_LOG_INFO, area, __VA_ARGS__);                                    \
+	} while (0)
+#define fl_debug(area, ...)                                                                        \
+	do {                                                                                       \
+		if (fl_log_on(FL_LOG_DEBUG))                                                       \
+			fl_log(FL_LOG_DEBUG, area, __VA_ARGS__);                                   \
+	} while (0)
+
+#endif
--- /dev/null
+++ b/src/transport/routine.c
@@ -0,0 +1,331 @@
+#include "transport/routine.h"
+
+#include <errno.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/mman.h>
+
+#if defined(__SANITIZE_ADDRESS__)
+#include <sanitizer/common_interface_defs.h>
+#define FIBER_START(save, bottom, size) __sanitizer_start_switch_fiber(save, bottom, size)
+#define FIBER_FINISH(save, bottom, size) __sanitizer_finish_switch_fiber(save, bottom, size)
+#else
+#define FIBER_START(save, bottom, size) ((void)(save), (void)(bottom), (void)(size))
+#define FIBER_FINISH(save, bottom, size) ((void)(save), (void)(bottom), (void)(size))
+#endif
+
+/* The C interface of boost's context switch; its own headers are C++. */
+typedef void *fcontext_t;
+struct transfer {
+	fcontext_t fctx;
+	void *data;
+};
+extern struct transfer jump_fcontext(fcontext_t to, void *vp);
+extern fcontext_t make_fcontext(void *sp, size_t size, void (*fn)(struct transfer));
+
+static const struct {
+	size_t stack; /* bytes; deep JSON plus room for a signal handler's frame */
+	size_t guard; /* bytes; an overrun faults instead of corrupting */
+	int spare;    /* stacks kept for reuse; each has a few touched pages */
+} choice = {256 * 1024, 4096, 32};
+
+struct fl_routine {
+	fcontext_t ctx;
+	char *stack;
+	void (*fn)(void *);
+	void *arg;
+	struct fl_routine *next_ready;
+	struct fl_routine *prev, *next; /* all routines */
+	struct fl_routine *sig_prev, *sig_next;
+	struct fl_signal *sig;
+	struct ev_io io;
+	struct ev_timer timer;
+	void *fake_stack;
+	int result;
+	bool parked, ready, cancelled, finished;
+};
+
+static struct {
+	struct ev_loop *loop;
+	struct ev_prepare prepare;
+	struct fl_routine *all, *current;
+	struct fl_routine *ready_head, *ready_tail;
+	char *spare[64];
+	int spares;
+	fcontext_t main_ctx;
+	void *main_fake;
+	const void *main_bottom;
+	size_t main_size;
+} rt;
+
+struct ev_loop *fl_loop(void)
+{
+	return rt.loop;
+}
+
+static char *stack_get(void)
+{
+	char *p;
+
+	if (rt.spares > 0)
+		return rt.spare[--rt.spares];
+	p = mmap(NULL, choice.stack + choice.guard, PROT_READ | PROT_WRITE,
+		 MAP_PRIVATE | MAP_ANONYMOUS | MAP_NORESERVE, -1, 0);
+	if (p == MAP_FAILED)
+		return NULL;
+	if (mprotect(p, choice.guard, PROT_NONE) != 0) {
+		munmap(p, choice.stack + choice.guard);
+		return NULL;
+	}
+	return p;
+}
+
+static void stack_put(char *p)
+{
+	if (rt.spares < choice.spare)
+		rt.spare[rt.spares++] = p;
+	else
+		munmap(p, choice.stack + choice.guard);
+}
+
+static void make_ready(struct fl_routine *r, int result)
+{
+	if (r->ready)
+		return;
+	r->ready = true;
+	r->result = result;
+	r->next_ready = NULL;
+	if (rt.ready_tail)
+		rt.ready_tail->next_ready = r;
+	else
+		rt.ready_head = r;
+	rt.ready_tail = r;
+}
+
+static void sig_unlink(struct fl_routine *r)
+{
+	if (!r->sig)
+		return;
+	if (r->sig_prev)
+		r->sig_prev->sig_next = r->sig_next;
+	else
+		r->sig->first = r->sig_next;
+	if (r->sig_next)
+		r->sig_next->sig_prev = r->sig_prev;
+	r->sig = NULL;
+	r->sig_prev = r->sig_next = NULL;
+}
+
+static void wake(struct fl_routine *r, int result)
+{
+	ev_io_stop(rt.loop, &r->io);
+	ev_timer_stop(rt.loop, &r->timer);
+	sig_unlink(r);
+	make_ready(r, result);
+}
+
+static void on_io(struct ev_loop *loop, struct ev_io *w, int revents)
+{
+	(void)loop, (void)revents;
+	wake(w->data, 0);
+}
+
+static void on_timer(struct ev_loop *loop, struct ev_timer *w, int revents)
+{
+	(void)loop, (void)revents;
+	wake(w->data, -ETIMEDOUT);
+}
+
+static void entry(struct transfer t)
+{
+	struct fl_routine *r = t.data;
+	struct transfer back;
+
+	FIBER_FINISH(NULL, &rt.main_bottom, &rt.main_size);
+	rt.main_ctx = t.fctx;
+	r->fn(r->arg);
+	r->finished = true;
+	FIBER_START(NULL, rt.main_bottom, rt.main_size);
+	back = jump_fcontext(rt.main_ctx, NULL);
+	(void)back;
+	abort();
+}
+
+static void resume(struct fl_routine *r)
+{
+	struct transfer t;
+
+	rt.current = r;
+	r->parked = false;
+	FIBER_START(&rt.main_fake, r->stack + choice.guard, choice.stack);
+	t = jump_fcontext(r->ctx, r);
+	FIBER_FINISH(rt.main_fake, NULL, NULL);
+	rt.current = NULL;
+	if (!r->finished) {
+		r->ctx = t.fctx;
+		return;
+	}
+	if (r->prev)
+		r->prev->next = r->next;
+	else
+		rt.all = r->next;
+	if (r->next)
+		r->next->prev = r->prev;
+	stack_put(r->stack);
+	free(r);
+}
+
+static int park(void)
+{
+	struct fl_routine *r = rt.current;
+	struct transfer t;
+
+	r->parked = true;
+	FIBER_START(&r->fake_stack, rt.main_bottom, rt.main_size);
+	t = jump_fcontext(rt.main_ctx, NULL);
+	FIBER_FINISH(r->fake_stack, &rt.main_bottom, &rt.main_size);
+	rt.main_ctx = t.fctx;
+	return r->cancelled ? -ECANCELED : r->result;
+}
+
+static void drain(void)
+{
+	while (rt.ready_head) {
+		struct fl_routine *r = rt.ready_head;
+
+		rt.ready_head = r->next_ready;
+		if (!rt.ready_head)
+			rt.ready_tail = NULL;
+		r->ready = false;
+		resume(r);
+	}
+}
+
+static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int revents)
+{
+	(void)loop, (void)w, (void)revents;
+	drain();
+}
+
+void fl_routines_init(struct ev_loop *loop)
+{
+	memset(&rt, 0, sizeof(rt));
+	rt.loop = loop;
+	ev_prepare_init(&rt.prepare, on_prepare);
+	ev_prepare_start(loop, &rt.prepare);
+}
+
+void fl_routines_run(void)
+{
+	ev_run(rt.loop, 0);
+}
+
+void fl_routines_shutdown(void)
+{
+	struct fl_routine *r;
+
+	for (r = rt.all; r; r = r->next)
+		fl_cancel(r);
+	while (rt.all) {
+		drain();
+		if (rt.all)
+			ev_run(rt.loop, EVRUN_NOWAIT);
+	}
+	ev_prepare_stop(rt.loop, &rt.prepare);
+	while (rt.spares > 0)
+		munmap(rt.spare[--rt.spares], choice.stack + choice.guard);
+}
+
+struct fl_routine *fl_spawn(void (*fn)(void *), void *arg)
+{
+	struct fl_routine *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->stack = stack_get();
+	if (!r->stack) {
+		free(r);
+		return NULL;
+	}
+	r->fn = fn;
+	r->arg = arg;
+	r->ctx = make_fcontext(r->stack + choice.guard + choice.stack, choice.stack, entry);
+	ev_init(&r->io, on_io);
+	ev_init(&r->timer, on_timer);
+	r->io.data = r->timer.data = r;
+	r->next = rt.all;
+	if (rt.all)
+		rt.all->prev = r;
+	rt.all = r;
+	make_ready(r, 0);
+	return r;
+}
+
+void fl_cancel(struct fl_routine *r)
+{
+	r->cancelled = true;
+	if (r->parked)
+		wake(r, -ECANCELED);
+}
+
+bool fl_cancelled(void)
+{
+	return rt.current && rt.current->cancelled;
+}
+
+static void arm_timer(struct fl_routine *r, double seconds)
+{
+	if (seconds < 0)
+		return;
+	/* The loop's own idea of now may be stale after a long callback. */
+	ev_now_update(rt.loop);
+	ev_timer_set(&r->timer, seconds, 0.);
+	ev_timer_start(rt.loop, &r->timer);
+}
+
+int fl_sleep(double seconds)
+{
+	struct fl_routine *r = rt.current;
+	int rc;
+
+	if (r->cancelled)
+		return -ECANCELED;
+	arm_timer(r, seconds < 0 ? 0 : seconds);
+	rc = park();
+	return rc == -ETIMEDOUT ? 0 : rc;
+}
+
+int fl_wait_io(int fd, int events, double timeout_s)
+{
+	struct fl_routine *r = rt.current;
+
+	if (r->cancelled)
+		return -ECANCELED;
+	ev_io_set(&r->io, fd, events);
+	ev_io_start(rt.loop, &r->io);
+	arm_timer(r, timeout_s);
+	return park();
+}
+
+int fl_signal_wait(struct fl_signal *sig, double timeout_s)
+{
+	struct fl_routine *r = rt.current;
+
+	if (r->cancelled)
+		return -ECANCELED;
+	r->sig = sig;
+	r->sig_prev = NULL;
+	r->sig_next = sig->first;
+	if (sig->first)
+		sig->first->sig_prev = r;
+	sig->first = r;
+	arm_timer(r, timeout_s);
+	return park();
+}
+
+void fl_signal_wake(struct fl_signal *sig)
+{
+	while (sig->first)
+		wake(sig->first, 0);
+}
--- /dev/null
+++ b/tests/test_decode.c
@@ -0,0 +1,176 @@
+/* Decoders on good and bad input: what comes in from outside is checked where it enters. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/users.h"
+#include "protocol/workers.h"
+
+static const char good[] =
+	"{\"Ref\":\"run-000412\",\"JobClass\":\"train\",\"Owner\":\"vision\",\"JobKind\":\"sweep\","
+	"\"Tier\":\"urgent\",\"Parts\":16,\"Vcpus\":8.0,\"Accelerators\":1.0,\"RamGb\":64.0,"
+	"\"Bundle\":\"img-07\",\"ImageGb\":6.2,\"HostKinds\":[\"g8\"],\"Site\":null,"
+	"\"Together\":true,\"Apart\":false,\"Reclaimable\":true,\"ExpectedS\":240.0,"
+	"\"SnapshotEveryS\":30.0,\"SnapshotCostS\":4.0,\"DueS\":900.0,\"Later\":[1]}";
+
+static const char *decode(const char *text, struct fl_run *run)
+{
+	cJSON *o = fl_json_parse(text, strlen(text));
+	const char *bad;
+
+	assert_non_null(o);
+	bad = fl_run_decode(o, run);
+	cJSON_Delete(o);
+	return bad;
+}
+
+/* The good body with one field's value replaced. */
+static const char *with(const char *field, const char *value)
+{
+	static struct fl_run run;
+	cJSON *o = fl_json_parse(good, strlen(good)), *v = fl_json_parse(value, strlen(value));
+	const char *bad;
+	char *text;
+
+	if (v)
+		cJSON_ReplaceItemInObjectCaseSensitive(o, field, v);
+	else
+		cJSON_DeleteItemFromObjectCaseSensitive(o, field);
+	text = fl_json_take(o);
+	bad = decode(text, &run);
+	free(text);
+	return bad;
+}
+
+static void a_good_run_is_read_and_written_back(void **state)
+{
+	struct fl_run run, again;
+	char *text;
+
+	(void)state;
+	assert_null(decode(good, &run));
+	assert_string_equal(run.ref, "run-000412");
+	assert_int_equal(run.parts, 16);
+	assert_int_equal(run.tier, FL_URGENT);
+	assert_false(run.has_site);
+	text = fl_json_take(fl_run_encode(&run));
+	assert_null(decode(text, &again));
+	assert_memory_equal(&run, &again, sizeof(run));
+	free(text);
+}
+
+static void a_bad_field_is_named(void **state)
+{
+	static const struct {
+		const char *field, *value;
+	} bad[] = {
+		{"Ref", "\"run-12\""},	  {"Ref", "\"job-000412\""}, {"Ref", "7"},
+		{"Ref", "\"run-00041x\""}, {"JobKind", "\"daemon\""}, {"Tier", "\"high\""},
+		{"Parts", "0"},		   {"Parts", "100001"},	      {"Parts", "1.5"},
+		{"Parts", "\"3\""},	   {"Vcpus", "-1"},	      {"RamGb", "1e999"},
+		{"ExpectedS", "true"},	   {"Bundle", "\"\""},	      {"Together", "1"},
+		{"HostKinds", "\"g8\""},   {"HostKinds", "[7]"},      {"DueS", "-3"},
+		{"Owner", ""},		   {"Vcpus", "null"},	      {"Site", "3"},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		const char *named = with(bad[i].field, bad[i].value);
+
+		assert_non_null(named);
+		assert_string_equal(named, bad[i].field);
+	}
+}
+
+static void null_equals_missing(void **state)
+{
+	(void)state;
+	assert_null(with("DueS", "null"));
+	assert_null(with("DueS", ""));
+	assert_null(with("HostKinds", "null"));
+	assert_null(with("Site", ""));
+}
+
+/* Guards the small stacks of routines: cJSON recurses once a level. */
+static void deep_nesting_is_refused(void **state)
+{
+	char text[4001];
+
+	(void)state;
+	memset(text, '[', 2000);
+	memset(text + 2000, ']', 2000);
+	text[4000] = 0;
+	assert_null(fl_json_parse(text, 4000));
+	assert_null(fl_json_parse("{}\0{}", 5));
+	assert_null(fl_json_parse("{} x", 4));
+	assert_null(fl_json_parse("", 0));
+}
+
+static void reports_are_read_and_bad_ones_refused(void **state)
+{
+	static const char report[] =
+		"{\"Host\":\"m-000231\",\"Endpoint\":\"10.1.0.232:9000\",\"HostKind\":\"g8\","
+		"\"Site\":\"a\",\"Reclaimable\":true,\"Tenure\":1,\"Serial\":88,\"Epoch\":41,"
+		"\"ReclaimInS\":null,\"Parts\":[{\"Part\":\"run-000412/3\",\"Try\":2,"
+		"\"Status\":\"running\"},{\"Part\":\"run-000398/0\",\"Try\":1,"
+		"\"Status\":\"ended\",\"ExitReason\":\"done\"}]}";
+	static const char *const bad[] = {
+		"{}",
+		"[]",
+		"{\"Host\":\"m-1\",\"Endpoint\":\"\",\"HostKind\":\"g\",\"Site\":\"a\","
+		"\"Reclaimable\":false,\"Tenure\":-1,\"Serial\":1,\"Epoch\":1}",
+		"{\"Host\":\"m-1\",\"Endpoint\":\"\",\"HostKind\":\"g\",\"Site\":\"a\","
+		"\"Reclaimable\":false,\"Tenure\":1,\"Serial\":1,\"Epoch\":1,\"Parts\":[{}]}",
+		"{\"Host\":\"m-1\",\"Endpoint\":\"\",\"HostKind\":\"g\",\"Site\":\"a\","
+		"\"Reclaimable\":false,\"Tenure\":1,\"Serial\":1,\"Epoch\":1,"
+		"\"Parts\":[{\"Part\":\"run-000001/100000\",\"Try\":1,\"Status\":\"running\"}]}",
+	};
+	struct fl_report r;
+
+	(void)state;
+	assert_int_equal(fl_report_decode(report, strlen(report), &r), 0);
+	assert_int_equal(r.n_parts, 2);
+	assert_int_equal(r.parts[0].index, 3);
+	assert_int_equal(r.parts[1].exit, FL_EXIT_DONE);
+	assert_true(r.reclaim_in_s < 0);
+	fl_report_free(&r);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		assert_int_not_equal(fl_report_decode(bad[i], strlen(bad[i]), &r), 0);
+}
+
+static void paths_are_taken_apart(void **state)
+{
+	char ref[FL_REF_MAX];
+
+	(void)state;
+	assert_int_equal(fl_user_route("/v2/runs", ref), FL_CALL_SUBMIT);
+	assert_int_equal(fl_user_route("/v2/runs/run-000001", ref), FL_CALL_POLL);
+	assert_string_equal(ref, "run-000001");
+	assert_int_equal(fl_user_route("/v2/runs/run-000001/cancel", ref), FL_CALL_CANCEL);
+	assert_string_equal(ref, "run-000001");
+	assert_int_equal(fl_user_route("/v2/runs/run-000001/stop", ref), FL_CALL_NONE);
+	assert_int_equal(fl_user_route("/v2/runs/whatever", ref), FL_CALL_POLL);
+	assert_string_equal(ref, "");
+	assert_int_equal(fl_user_route("/v2/run", ref), FL_CALL_NONE);
+	assert_int_equal(fl_user_route("/ready", ref), FL_CALL_READY);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_good_run_is_read_and_written_back),
+		cmocka_unit_test(a_bad_field_is_named),
+		cmocka_unit_test(null_equals_missing),
+		cmocka_unit_test(deep_nesting_is_refused),
+		cmocka_unit_test(reports_are_read_and_bad_ones_refused),
+		cmocka_unit_test(paths_are_taken_apart),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
