--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -116,9 +116,14 @@
 	free(job);
 }
 
+struct fl_chunk *fl_job_chunk(const struct fl_job *job, uint32_t chunk)
+{
+	return job->chunks ? job->chunks[chunk] : NULL;
+}
+
 struct fl_task *fl_task_peek(const struct fl_job *job, uint32_t index)
 {
-	struct fl_chunk *c = job->chunks ? job->chunks[index / FL_CHUNK] : NULL;
+	struct fl_chunk *c = fl_job_chunk(job, index / FL_CHUNK);
 
 	return c ? &c->task[index % FL_CHUNK] : NULL;
 }
@@ -139,7 +144,7 @@
 
 bool fl_task_durable(const struct fl_job *job, uint32_t index)
 {
-	const struct fl_chunk *c = job->chunks ? job->chunks[index / FL_CHUNK] : NULL;
+	const struct fl_chunk *c = fl_job_chunk(job, index / FL_CHUNK);
 
 	return !c || c->task[index % FL_CHUNK].gen <= c->saved_gen;
 }
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -92,6 +92,11 @@
 void fl_job_finalise(struct fl_books *b, struct fl_job *job, enum fl_status status);
 void fl_final_add(struct fl_books *b, const char *ref, enum fl_status status, uint32_t parts);
 
+/*
+ * NULL for a chunk that was never touched. A job that was cancelled before any of its tasks was
+ * placed has no chunks at all and is still on the dirty list: never index job->chunks directly.
+ */
+struct fl_chunk *fl_job_chunk(const struct fl_job *job, uint32_t chunk);
 struct fl_task *fl_task_get(struct fl_job *job, uint32_t index);
 /* The task if its chunk exists, else NULL (it waits and never ran). */
 struct fl_task *fl_task_peek(const struct fl_job *job, uint32_t index);
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -45,16 +45,20 @@
 
 static uint32_t count_startable(struct fl_job *job, double now)
 {
+	uint32_t most = job->kind == FL_ENSEMBLE ? job->parts : (uint32_t)choice.waiting_most;
 	uint32_t at = 0, count = 0;
 
 	if (job->not_before > now)
 		return 0;
-	while (count < (uint32_t)choice.waiting_most &&
+	/* An ensemble starts only whole: all that is not done, and none of it anywhere yet. */
+	if (job->kind == FL_ENSEMBLE && job->n_placed > 0)
+		return 0;
+	while (count < most &&
 	       (at = fl_task_next_waiting(job, at, now)) < job->parts) {
 		count++;
 		at++;
 	}
-	return count;
+	return job->kind == FL_ENSEMBLE && count < job->n_waiting ? 0 : count;
 }
 
 static void snap_job(struct snapshot *s, struct fl_job *job, double now, double wall)
@@ -67,6 +71,7 @@
 		return;
 	j->tier = job->tier;
 	j->standing = job->kind == FL_STANDING;
+	j->whole = job->kind == FL_ENSEMBLE;
 	j->team = job->owner;
 	j->waited_s = wall - job->submitted;
 	j->est_s = job->expected_s;
@@ -281,6 +286,25 @@
 	}
 }
 
+/* An ensemble that lost a part cannot go on: the rest is stopped, and it starts again whole. */
+static void stop_broken_ensembles(struct fl_node *n)
+{
+	for (int i = 0; i < n->books.machines.n; i++) {
+		struct fl_machine *m = n->books.machines.at[i];
+
+		for (int k = 0; k < m->n_slots; k++) {
+			struct fl_job *job = m->slots[k].job;
+			struct fl_task *t = fl_task_peek(job, m->slots[k].index);
+
+			if (job->kind != FL_ENSEMBLE || job->n_waiting == 0 ||
+			    t->stop != FL_STOP_NONE)
+				continue;
+			t->stop = FL_STOP_DRAIN;
+			fl_leader_push(n, m);
+		}
+	}
+}
+
 static void pass_duty(void *arg)
 {
 	struct fl_node *n = arg;
@@ -298,6 +322,7 @@
 			continue;
 		last = fl_now();
 		drain_reclaimed(n);
+		stop_broken_ensembles(n);
 		pass(n);
 		if (n->books.dirty)
 			fl_signal_wake(&n->lead.dirty);
@@ -486,7 +511,7 @@
 	struct fl_multi m;
 	char key[FL_KEY_MAX], failed[FL_KEY_MAX];
 	uint64_t rev;
-	int rc;
+	int rc, left = 0;
 
 	if (job->unsure && (rc = reread_job(n, job->ref)) != 0)
 		return rc;
@@ -498,13 +523,16 @@
 	fl_key_job(key, job->ref);
 	fl_multi_when(&m, key, job->rev);
 	fl_multi_put(&m, key, fl_job_record_final(status, job->parts, NULL, 0), 0);
-	for (uint32_t i = 0; job->chunks && i < job->n_chunks; i++) {
-		struct fl_chunk *c = job->chunks[i];
+	for (uint32_t i = 0; i < job->n_chunks; i++) {
+		struct fl_chunk *c = fl_job_chunk(job, i);
 
-		if (!c || (c->rev == 0 && !c->rev_unknown) || m.n_apply >= n->config->txn_ops)
+		if (!c || (c->rev == 0 && !c->rev_unknown))
 			continue;
 		fl_key_chunk(key, job->ref, i);
-		fl_multi_delete(&m, key);
+		if (m.n_apply < n->config->txn_ops)
+			fl_multi_delete(&m, key);
+		else
+			left++;
 	}
 	rc = await_budget(n, m.n_apply);
 	if (rc || !leading(n)) {
@@ -514,6 +542,15 @@
 	job->finishing = true;
 	rc = fl_state_multi(&n->state, &m, &rev, failed);
 	if (rc == 0) {
+		for (uint32_t i = job->n_chunks; i-- > 0 && left > 0;) {
+			const struct fl_chunk *c = fl_job_chunk(job, i);
+
+			if (!c || (c->rev == 0 && !c->rev_unknown))
+				continue;
+			fl_key_chunk(key, job->ref, i);
+			fl_leader_discard(n, key);
+			left--;
+		}
 		fl_info("jobs", "%s is %s", job->ref, fl_status_name(status));
 		fl_job_finalise(&n->books, job, status);
 		return 0;
@@ -534,7 +571,7 @@
 	for (job = n->books.dirty; job; job = next) {
 		next = job->next_dirty;
 		for (uint32_t i = 0; i < job->n_chunks; i++) {
-			struct fl_chunk *c = job->chunks[i];
+			struct fl_chunk *c = fl_job_chunk(job, i);
 
 			if (!c || c->gen <= c->saved_gen)
 				continue;
@@ -555,9 +592,12 @@
 static int reread_unknown(struct fl_node *n)
 {
 	for (struct fl_job *job = n->books.dirty; job; job = job->next_dirty)
-		for (uint32_t i = 0; i < job->n_chunks; i++)
-			if (job->chunks[i] && job->chunks[i]->rev_unknown)
+		for (uint32_t i = 0; i < job->n_chunks; i++) {
+			const struct fl_chunk *c = fl_job_chunk(job, i);
+
+			if (c && c->rev_unknown)
 				return reread(n, job, i);
+		}
 	return 0;
 }
 
@@ -605,8 +645,11 @@
 		struct fl_job *job = *at;
 		bool dirty = false;
 
-		for (uint32_t i = 0; i < job->n_chunks && !dirty; i++)
-			dirty = job->chunks[i] && job->chunks[i]->gen > job->chunks[i]->saved_gen;
+		for (uint32_t i = 0; i < job->n_chunks && !dirty; i++) {
+			const struct fl_chunk *c = fl_job_chunk(job, i);
+
+			dirty = c && c->gen > c->saved_gen;
+		}
 		if (dirty || over(job)) {
 			at = &job->next_dirty;
 		} else {
@@ -616,6 +659,58 @@
 	}
 }
 
+struct fl_trash {
+	struct fl_trash *next;
+	char key[FL_KEY_MAX];
+};
+
+void fl_leader_discard(struct fl_node *n, const char *key)
+{
+	struct fl_trash *t = malloc(sizeof(*t));
+
+	if (!t)
+		return; /* it costs a record's room, nothing else */
+	strcpy(t->key, key);
+	t->next = n->lead.trash;
+	n->lead.trash = t;
+}
+
+static void free_trash(struct fl_node *n)
+{
+	while (n->lead.trash) {
+		struct fl_trash *t = n->lead.trash;
+
+		n->lead.trash = t->next;
+		free(t);
+	}
+}
+
+static int empty_trash(struct fl_node *n)
+{
+	struct fl_trash *t = n->lead.trash;
+	struct fl_multi m;
+	uint64_t rev;
+	int rc;
+
+	fl_multi_init(&m);
+	fl_multi_when(&m, FL_KEY_LEAD, n->lease.lead_rev);
+	for (; t && m.n_apply < n->config->txn_ops; t = t->next)
+		fl_multi_delete(&m, t->key);
+	rc = await_budget(n, m.n_apply);
+	if (rc || !leading(n)) {
+		fl_multi_free(&m);
+		return rc ? rc : -EAGAIN;
+	}
+	rc = fl_state_multi(&n->state, &m, &rev, NULL);
+	while (rc == 0 && n->lead.trash != t) {
+		struct fl_trash *gone = n->lead.trash;
+
+		n->lead.trash = gone->next;
+		free(gone);
+	}
+	return rc;
+}
+
 static int write_all(struct fl_node *n)
 {
 	struct fl_job *job, *next;
@@ -638,7 +733,9 @@
 	struct fl_node *n = arg;
 
 	while (!fl_cancelled()) {
-		if (!n->books.dirty || !leading(n)) {
+		if (!leading(n) || !n->books.dirty) {
+			if (leading(n) && n->lead.trash)
+				empty_trash(n);
 			if (fl_signal_wait(&n->lead.dirty, 0.5) == -ECANCELED)
 				break;
 			continue;
@@ -740,12 +837,13 @@
 {
 	double rate = n->config->state_write_rps * choice.write_share;
 
+	free_trash(n);
+	memset(&n->lead, 0, sizeof(n->lead));
 	if (fl_takeover_load(n) != 0 || !fl_lease_valid(n)) {
 		fl_books_forget_tasks(&n->books);
 		n->books.leading = false;
 		return;
 	}
-	memset(&n->lead, 0, sizeof(n->lead));
 	n->lead.first_epoch = n->lease.epoch;
 	n->lead.since = fl_now();
 	n->lead.active = true;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -23,6 +23,7 @@
 	struct fl_signal dirty; /* something to write */
 	struct fl_signal ended; /* a routine has ended */
 	struct fl_budget writes;
+	struct fl_trash *trash; /* records of jobs that are over, still to be deleted */
 	bool due; /* a pass is wanted */
 	int resume;
 	int pushes;
@@ -31,6 +32,8 @@
 	double last_pass_s; /* how long the last pass took */
 };
 
+/* A progress record that nothing needs any more. */
+void fl_leader_discard(struct fl_node *n, const char *key);
 void fl_leader_begin(struct fl_node *n);
 void fl_leader_end(struct fl_node *n);
 /* Answers to users, by the node whose lease is valid now. */
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -49,7 +49,7 @@
 {
 	int team = fl_teams_find(&n->books.teams, r->owner), zone = -1;
 	const struct fl_team *t;
-	double tasks = r->kind == FL_STANDING ? r->parts : 1;
+	double tasks = r->kind == FL_SWEEP ? 1 : r->parts;
 	bool fits = false;
 
 	if (team < 0)
--- a/src/coordination/reconcile.c
+++ b/src/coordination/reconcile.c
@@ -91,6 +91,8 @@
 		fl_signal_wake(&n->lead.work);
 		return;
 	case FL_EXIT_STOPPED:
+	case FL_EXIT_MATES_GONE:
+	case FL_EXIT_ALONE:
 		break;
 	case FL_EXIT_NO_ROOM:
 	case FL_EXIT_BUSY:
@@ -109,9 +111,15 @@
 
 static enum fl_sight sight_of(enum fl_part_state s)
 {
-	return s == FL_PULLING	 ? FL_SEEN_PULLING
-	       : s == FL_FLUSHING ? FL_SEEN_FLUSHING
-				  : FL_SEEN_RUNNING;
+	switch (s) {
+	case FL_PULLING:
+	case FL_GATHERING:
+		return FL_SEEN_PULLING;
+	case FL_FLUSHING:
+		return FL_SEEN_FLUSHING;
+	default:
+		return FL_SEEN_RUNNING;
+	}
 }
 
 /* An entry that is no current attempt: stop it if it lives, have it forgotten when that is safe. */
--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -214,8 +214,25 @@
 	j->waiting--;
 }
 
-/* Starts what fits now; true if room was what stopped it, not the team's limit. */
-static bool start_fitting(struct pass *p, int job, const double *ends_by)
+static void undo_starts(struct pass *p, int keep)
+{
+	while (p->out->n_starts > keep) {
+		const struct fl_sched_start *s = &p->out->starts[--p->out->n_starts];
+		struct fl_sched_job *j = &p->in->jobs[s->job];
+		struct fl_sched_machine *m = &p->in->machines[s->machine];
+		struct fl_team *t = &p->in->teams[j->team];
+
+		m->cpus += j->cpus;
+		m->gpus += j->gpus;
+		m->ram_gb += j->ram_gb;
+		t->used_cpus -= j->cpus;
+		t->used_gpus -= j->gpus;
+		j->zone_placed[m->zone]--;
+		j->waiting++;
+	}
+}
+
+static bool start_each(struct pass *p, int job, const double *ends_by)
 {
 	struct fl_sched_job *j = &p->in->jobs[job];
 	int zone = pick_zone(p->in, j);
@@ -233,6 +250,17 @@
 	return false;
 }
 
+/* Starts what fits now; true if room was what stopped it, not the team's limit. */
+static bool start_fitting(struct pass *p, int job, const double *ends_by)
+{
+	int before = p->out->n_starts;
+	bool no_room = start_each(p, job, ends_by);
+
+	if (p->in->jobs[job].whole && p->in->jobs[job].waiting > 0)
+		undo_starts(p, before);
+	return no_room;
+}
+
 /* May `j` stop `r`? By tier, or to get its team's guarantee from a team beyond its own. */
 static bool may_stop(const struct pass *p, const struct fl_sched_job *j,
 		     const struct fl_sched_run *r, bool owed)
@@ -352,7 +380,8 @@
 	double cpus = t->used_cpus, gpus = t->used_gpus;
 	uint32_t claimed = 0;
 
-	while (claimed < j->waiting && !p->failed) {
+	/* An ensemble claims nothing: stops for a part of it would free room it cannot use yet. */
+	while (claimed < j->waiting && !j->whole && !p->failed) {
 		bool owed = fl_team_within_guarantee(t, t->used_cpus + j->cpus,
 						     t->used_gpus + j->gpus);
 
@@ -408,6 +437,68 @@
 	return INFINITY;
 }
 
+static uint32_t tasks_in(const struct fl_sched_job *j, double cpus, double gpus, double ram)
+{
+	double n = j->waiting;
+
+	if (j->cpus > 0)
+		n = fmin(n, floor(cpus / j->cpus + choice.eps));
+	if (j->gpus > 0)
+		n = fmin(n, floor(gpus / j->gpus + choice.eps));
+	if (j->ram_gb > 0)
+		n = fmin(n, floor(ram / j->ram_gb + choice.eps));
+	return n > 0 ? (uint32_t)n : 0;
+}
+
+/* Time until a whole ensemble fits, counted in tasks that each machine can really hold. */
+static double wait_whole(const struct pass *p, const struct fl_sched_job *j, struct end *ends)
+{
+	const struct fl_sched_in *in = p->in;
+	size_t n_m = (size_t)in->n_machines + 1;
+	double *room = malloc(3 * n_m * sizeof(*room)), found = INFINITY, at = 0;
+	int n = 0;
+
+	if (!room)
+		return INFINITY;
+	for (int i = 0; i < in->n_machines; i++) {
+		room[3 * i] = in->machines[i].cpus;
+		room[3 * i + 1] = in->machines[i].gpus;
+		room[3 * i + 2] = in->machines[i].ram_gb;
+	}
+	for (int i = 0; i < in->n_runs; i++)
+		if (in->runs[i].left_s < INFINITY)
+			ends[n++] = (struct end){in->runs[i].left_s, i};
+	qsort(ends, (size_t)n, sizeof(*ends), by_end);
+	for (int k = -1; k < n && found == INFINITY; k++) {
+		uint32_t zone[FL_ZONES_MAX] = {0}, all = 0;
+
+		if (k >= 0) {
+			const struct fl_sched_run *r = &in->runs[ends[k].run];
+
+			at = ends[k].at;
+			room[3 * r->machine] += r->cpus;
+			room[3 * r->machine + 1] += r->gpus;
+			room[3 * r->machine + 2] += r->ram_gb;
+		}
+		for (int i = 0; i < in->n_machines; i++) {
+			uint32_t c = allowed(j, &in->machines[i])
+					     ? tasks_in(j, room[3 * i], room[3 * i + 1],
+							room[3 * i + 2])
+					     : 0;
+
+			zone[in->machines[i].zone] += c;
+			all += c;
+		}
+		for (int z = 0; j->together && z < FL_ZONES_MAX; z++)
+			if (z == 0 || zone[z] > all)
+				all = zone[z];
+		if (all >= j->waiting)
+			found = at;
+	}
+	free(room);
+	return found;
+}
+
 /*
  * hpwait by machine, not by cores in total: room that frees in scattered pieces is no room. The
  * window only shrinks while the same job stays on top: set anew each pass, it would never end.
@@ -422,7 +513,9 @@
 		p->failed = true;
 		return;
 	}
-	for (int i = 0; i < p->in->n_machines; i++)
+	if (j->whole)
+		hpwait = wait_whole(p, j, ends);
+	for (int i = 0; i < p->in->n_machines && !j->whole; i++)
 		if (allowed(j, &p->in->machines[i]) && zone_ok(j, p->in->machines[i].zone))
 			hpwait = fmin(hpwait, wait_on(p, j, i, ends));
 	free(ends);
--- a/src/coordination/schedule.h
+++ b/src/coordination/schedule.h
@@ -22,6 +22,7 @@
 struct fl_sched_job {
 	enum fl_tier tier;
 	bool standing;
+	bool whole; /* an ensemble: all that wait start at once, or none */
 	int team;
 	double waited_s, est_s;
 	double cpus, gpus, ram_gb, image_gb;
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -61,7 +61,9 @@
 	}
 	job = fl_job_find(&l->n->books, ref);
 	if (!job) {
-		l->orphans++; /* left behind by a final write that had too many to delete */
+		/* Left behind by a final write that had more to delete than fits in one. */
+		l->orphans++;
+		fl_leader_discard(l->n, ch->key);
 		return;
 	}
 	if (fl_chunk_restore(&l->n->books, job, chunk, ch->value, ch->rev, l->now) != 0) {
--- a/src/protocol/users.c
+++ b/src/protocol/users.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 static const char *const tier_names[] = {"best_effort", "standard", "urgent", "critical"};
-static const char *const kind_names[] = {"sweep", "standing"};
+static const char *const kind_names[] = {"sweep", "standing", "ensemble"};
 static const char *const status_names[] = {"pending", "running", "done", "aborted"};
 
 static const char runs_path[] = "/v2/runs";
@@ -108,7 +108,7 @@
 	if (!get_name(o, "Owner", out->owner))
 		return "Owner";
 	if (fl_json_str(o, "JobKind", word, sizeof(word)) != FL_FIELD_OK ||
-	    (k = pick(word, kind_names, 2)) < 0)
+	    (k = pick(word, kind_names, 3)) < 0)
 		return "JobKind";
 	out->kind = (enum fl_job_kind)k;
 	if (fl_json_str(o, "Tier", word, sizeof(word)) != FL_FIELD_OK ||
--- a/src/protocol/users.h
+++ b/src/protocol/users.h
@@ -6,7 +6,8 @@
 
 enum { FL_NAME_MAX = 64, FL_REF_MAX = 24, FL_KINDS_MAX = 16, FL_PARTS_MAX = 100000 };
 
-enum fl_job_kind { FL_SWEEP, FL_STANDING };
+/* An ensemble (gang) starts only whole. */
+enum fl_job_kind { FL_SWEEP, FL_STANDING, FL_ENSEMBLE };
 /* In rising order; the exponent of the priority's queue factor is tier - 1. */
 enum fl_tier { FL_BEST_EFFORT, FL_STANDARD, FL_URGENT, FL_CRITICAL };
 enum fl_status { FL_PENDING, FL_RUNNING, FL_DONE, FL_ABORTED };
--- a/src/protocol/workers.c
+++ b/src/protocol/workers.c
@@ -5,8 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const char *const state_names[] = {"pulling", "running", "flushing", "ended"};
-static const char *const exit_names[] = {"done", "stopped", "error", "no_room", "busy", "no_such"};
+static const char *const state_names[] = {"pulling", "running", "flushing", "ended", "gathering"};
+static const char *const exit_names[] = {"done", "stopped", "error", "no_room",
+					  "busy", "no_such", "mates_gone", "alone"};
 static const char *const verb_names[] = {"launch", "kill", "forget"};
 
 static int find(const char *s, const char *const *names, int n)
@@ -48,13 +49,13 @@
 	p->attempt = (uint32_t)attempt;
 	if (fl_json_str(e, "Status", word, sizeof(word)) != FL_FIELD_OK)
 		return -EPROTO;
-	k = find(word, state_names, 4);
+	k = find(word, state_names, 5);
 	if (k < 0)
 		return -EPROTO;
 	p->state = (enum fl_part_state)k;
 	p->exit = FL_EXIT_OTHER;
 	if (fl_json_str(e, "ExitReason", word, sizeof(word)) == FL_FIELD_OK) {
-		k = find(word, exit_names, 6);
+		k = find(word, exit_names, 8);
 		if (k >= 0)
 			p->exit = (enum fl_exit)k;
 	}
--- a/src/protocol/workers.h
+++ b/src/protocol/workers.h
@@ -5,9 +5,10 @@
 #include "protocol/users.h"
 #include "transport/http_client.h"
 
-enum fl_part_state { FL_PULLING, FL_EXECUTING, FL_FLUSHING, FL_ENDED };
+/* Gathering: an ensemble's task that waits for the others to be there. */
+enum fl_part_state { FL_PULLING, FL_EXECUTING, FL_FLUSHING, FL_ENDED, FL_GATHERING };
 enum fl_exit { FL_EXIT_DONE, FL_EXIT_STOPPED, FL_EXIT_ERROR, FL_EXIT_NO_ROOM, FL_EXIT_BUSY,
-	       FL_EXIT_NO_SUCH, FL_EXIT_OTHER };
+	       FL_EXIT_NO_SUCH, FL_EXIT_MATES_GONE, FL_EXIT_ALONE, FL_EXIT_OTHER };
 
 struct fl_part {
 	char ref[FL_REF_MAX];
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -74,6 +74,9 @@
 	if (rc)
 		goto out;
 	do {
+		/* A parser that has seen an end cannot read another connection. */
+		fl_msg_free(&msg);
+		fl_msg_init(&msg, HTTP_RESPONSE, choice.max_body);
 		reused = c->idles > 0;
 		fd = reused ? c->idle[--c->idles] : open_conn(c, until - fl_now());
 		if (fd < 0) {
