--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -171,6 +171,8 @@
 	}
 	rc = state_is_down(n) ? -EAGAIN : store_job(n, &run);
 	if (rc == 0) {
+		fl_info("jobs", "%s accepted: %s of %s, %u x %g cpus %g gpus", run.ref,
+			run.job_class, run.owner, run.parts, run.cpus, run.gpus);
 		resp->status = 201;
 		resp->body = fl_status_encode(run.ref, FL_PENDING, -1, 0);
 		return;
--- a/src/coordination/reconcile.c
+++ b/src/coordination/reconcile.c
@@ -85,6 +85,8 @@
 
 			m->speed = m->speed > 0 ? 0.8 * m->speed + 0.2 * ratio : ratio;
 		}
+		fl_debug("workers", "%s/%u done on %s after %.1f s of %.1f", job->ref, index,
+			 m->name, now - t->since, job->expected_s);
 		job->strikes = 0;
 		m->faults = 0;
 		fl_task_done(&n->books, job, index);
@@ -165,6 +167,11 @@
 		return;
 	}
 	if (t->sight != sight_of(p->state)) {
+		fl_debug("workers", "%s/%u is %s on %s after %.1f s", job->ref, p->index,
+			 sight_of(p->state) == FL_SEEN_RUNNING	 ? "running"
+			 : sight_of(p->state) == FL_SEEN_PULLING ? "pulling"
+								 : "saving",
+			 m->name, now - t->since);
 		fl_task_sighted(job, t, sight_of(p->state), now);
 		fl_signal_wake(&n->lead.work);
 	}
