--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -19,6 +19,7 @@
 	double kinds_s;      /* s between two looks at prices */
 	double refused_s;    /* s for which a refused place is not asked again */
 	double idle_boots;   /* boot times for which an idle machine is kept */
+	double boot_late;    /* boot times after which a booting machine is no longer counted on */
 	double boot_most;    /* boot times after which a booting machine is given up */
 	double silent_extra_s; /* s beyond a worker's lease before a silent machine is returned */
 	double mass_share;   /* share of machines silent at once that points at us, not at them */
@@ -26,7 +27,7 @@
 	double soon_boots;   /* boot times within which an ending task's room is waited for */
 	int machines_most;   /* rented in one round */
 	int tries;           /* of one rental that goes unanswered */
-} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 3.0, 2.0, 0.4, 3.0, 0.7, 40, 3};
+} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 2.0, 0.4, 3.0, 0.7, 40, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
 struct virtual {
@@ -192,7 +193,10 @@
 		if (m->gone || !m->described)
 			continue;
 		p->zone_machines[m->zone]++;
-		if (!m->up && !m->deleting && m->n_slots == 0)
+		/* Some boot for minutes and a few for ever: what waits must not wait for those. */
+		if (!m->up && !m->deleting && m->n_slots == 0 &&
+		    p->now - m->created <
+			    choice.boot_late * b->machines.kinds[m->kind].ready_s)
 			add_virtual(p, m->kind, m->zone, m->spot, false);
 		for (int k = 0; m->up && k < m->n_slots; k++) {
 			const struct fl_job *job = m->slots[k].job;
