--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -39,6 +39,7 @@
 	uint64_t tenure, serial, epoch; /* of the newest report */
 	uint64_t direct_epoch;          /* highest epoch of a direct launch sent here; 0: none */
 	double heard;       /* steady time of the newest report */
+	double reached;     /* and of the newest that orders could answer, or came by a command */
 	double created;     /* steady time of rental or first sight */
 	double idle_since;  /* 0: not idle */
 	double reclaim_at;  /* 0: no notice */
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -19,8 +19,10 @@
 	double refresh_s;   /* s; least time between two reads for a fresher proof */
 	double digest_s;    /* s between two digests in the state service */
 	double margin_s;    /* s off the keeping time, for drift and late timers */
+	double home_s;      /* s that a worker's own zone's node must have been up */
+	double home_gap_s;  /* s between two times that one worker is sent home */
 	double record_use;  /* share of a value's limit that a digest fills */
-} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 2.0, 1.0, 0.85};
+} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 2.0, 1.0, 4.0, 60.0, 0.85};
 
 static struct fl_peer *find_peer(struct fl_node *n, const char *name)
 {
@@ -120,50 +122,26 @@
 	return n->epoch > 0 && n->epoch >= epoch && fl_now() - n->proof_at <= keep_s(n);
 }
 
-static void answer_kept(struct fl_node *n, const char *body, size_t len, struct fl_response *resp)
+static void answer_kept(struct fl_node *n, const struct fl_report *r, const char *body,
+			struct fl_response *resp)
 {
 	struct fl_orders orders;
-	struct fl_report r;
 
-	if (fl_report_decode(body, len, &r) != 0) {
-		fl_refuse(resp, 400, "not a report");
-		return;
-	}
-	if (may_keep(n, r.epoch)) {
+	if (may_keep(n, r->epoch)) {
 		fl_orders_init(&orders, n->epoch);
 		resp->status = 200;
 		resp->body = fl_orders_take(&orders);
-		keep(n, &r, body);
+		keep(n, r, body);
 	} else {
 		fl_refuse(resp, 503, "no proof of the epoch");
 	}
-	fl_report_free(&r);
 }
 
-void fl_keeper_report(struct fl_node *n, const char *body, size_t len, bool last_hop,
-		      struct fl_response *resp)
+static void relay_or_keep(struct fl_node *n, const struct fl_report *r, const char *body,
+			  bool last_hop, struct fl_response *resp)
 {
 	struct fl_reply reply;
-	struct fl_report r;
-
-	if (fl_lease_valid(n) && n->lead.active) {
-		struct fl_orders orders;
 
-		if (fl_report_decode(body, len, &r) != 0) {
-			fl_refuse(resp, 400, "not a report");
-			return;
-		}
-		fl_orders_init(&orders, n->lease.epoch);
-		if (fl_reconcile_report(n, &r, &orders) == 0) {
-			resp->status = 200;
-			resp->body = fl_orders_take(&orders);
-		} else {
-			cJSON_Delete(orders.root);
-			fl_refuse(resp, 503, "this machine is not known any more");
-		}
-		fl_report_free(&r);
-		return;
-	}
 	if (fl_relay(n, FL_CALL_REPORT, NULL, body, last_hop, choice.patience_s, &reply) == 0) {
 		if (reply.status == 200) {
 			resp->status = 200;
@@ -171,15 +149,86 @@
 			return;
 		}
 		fl_buf_free(&reply.body);
-		if (last_hop) {
-			resp->status = 421;
-			return;
-		}
-	} else if (last_hop) {
+	}
+	if (last_hop)
 		resp->status = 421;
+	else
+		answer_kept(n, r, body, resp);
+}
+
+/* One worker is sent home once in a long while: after that it is served where it is. */
+static bool sent_lately(struct fl_node *n, const char *host)
+{
+	struct fl_sent_home *s;
+
+	HASH_FIND_STR(n->keeper.sent_home, host, s);
+	if (s && fl_now() < s->at + choice.home_gap_s)
+		return true;
+	if (!s) {
+		s = calloc(1, sizeof(*s));
+		if (!s)
+			return true;
+		strcpy(s->host, host);
+		HASH_ADD_STR(n->keeper.sent_home, host, s);
+	}
+	s->at = fl_now();
+	return false;
+}
+
+/*
+ * A worker is best kept by a node of its own zone. One that reports across zones when they are
+ * cut apart tries node after node for 5 s each, and its lease ends before it comes to its own.
+ */
+static const struct fl_peer *home_of(struct fl_node *n, const struct fl_report *r)
+{
+	double now = fl_now();
+
+	if (strcmp(r->site, n->config->location) == 0)
+		return NULL;
+	for (int i = 0; i < n->n_peers; i++) {
+		const struct fl_peer *p = &n->peers[i];
+
+		if (strcmp(p->location, r->site) == 0 && p->up &&
+		    now > p->up_since + choice.home_s)
+			return sent_lately(n, r->host) ? NULL : p;
+	}
+	return NULL;
+}
+
+static void answer_leading(struct fl_node *n, const struct fl_report *r, struct fl_response *resp)
+{
+	struct fl_orders orders;
+
+	fl_orders_init(&orders, n->lease.epoch);
+	if (fl_reconcile_report(n, r, &orders, true) == 0) {
+		resp->status = 200;
+		resp->body = fl_orders_take(&orders);
+	} else {
+		cJSON_Delete(orders.root);
+		fl_refuse(resp, 503, "this machine is not known any more");
+	}
+}
+
+void fl_keeper_report(struct fl_node *n, const char *body, size_t len, bool last_hop,
+		      struct fl_response *resp)
+{
+	const struct fl_peer *home;
+	struct fl_report r;
+
+	if (fl_report_decode(body, len, &r) != 0) {
+		fl_refuse(resp, 400, "not a report");
 		return;
 	}
-	answer_kept(n, body, len, resp);
+	home = last_hop ? NULL : home_of(n, &r);
+	if (home) {
+		resp->status = 421;
+		resp->body = fl_steward_encode(home->name);
+	} else if (fl_lease_valid(n) && n->lead.active) {
+		answer_leading(n, &r, resp);
+	} else {
+		relay_or_keep(n, &r, body, last_hop, resp);
+	}
+	fl_report_free(&r);
 }
 
 static void hear(struct fl_node *n, const struct fl_gossip *g, double sent)
@@ -249,13 +298,14 @@
 			if (reply.status == 200 &&
 			    fl_gossip_decode(reply.body.data, reply.body.len, &theirs) == 0) {
 				p->said = theirs;
-				p->last_ok = fl_now();
 				hear(n, &theirs, sent);
 			}
 			fl_buf_free(&reply.body);
 		}
-		if (p->up != (rc == 0))
+		if (p->up != (rc == 0)) {
+			p->up_since = fl_now();
 			fl_info("peers", "%s is %s", p->name, rc == 0 ? "up" : "not answering");
+		}
 		p->up = rc == 0;
 	}
 }
@@ -266,13 +316,16 @@
 	struct fl_multi m;
 	uint64_t rev;
 	cJSON *v = cJSON_CreateObject();
+	int rc;
 
 	cJSON_AddNumberToObject(v, "epoch", (double)n->epoch);
 	cJSON_AddItemToObject(v, "reports", list);
 	snprintf(key, sizeof(key), FL_PREFIX_KEPT "%s/%d", n->config->node, at);
 	fl_multi_init(&m);
 	fl_multi_put(&m, key, v, 0);
-	return fl_state_multi(&n->state, &m, &rev, NULL);
+	rc = fl_state_multi(&n->state, &m, &rev, NULL);
+	fl_debug("keeper", "digest %d: %s", at, rc ? strerror(-rc) : "stored");
+	return rc;
 }
 
 /*
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -21,10 +21,16 @@
 	double at;
 };
 
+struct fl_sent_home {
+	UT_hash_handle hh;
+	char host[FL_NAME_MAX];
+	double at;
+};
+
 struct fl_keeper {
 	struct fl_kept *kept;
+	struct fl_sent_home *sent_home;
 	double refreshed_at;
-	int digests; /* records of this node's digest that may hold something */
 };
 
 void fl_keeper_start(struct fl_node *n);
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -96,7 +96,7 @@
 {
 	return m && m->up && m->described && !m->deleting && !m->gone && m->foreign == 0 &&
 	       m->reclaim_at == 0 && m->avoid_until <= now &&
-	       now - m->heard < choice.fresh_reports * n->config->report_s;
+	       now - m->reached < choice.fresh_reports * n->config->report_s;
 }
 
 static double estimated_left(const struct fl_job *job, const struct fl_task *t, double now)
@@ -362,7 +362,7 @@
 	free(body);
 	if (rc == 200 || rc == 409) {
 		if (leading(n))
-			fl_reconcile_report(n, &r, NULL);
+			fl_reconcile_report(n, &r, NULL, true);
 		fl_report_free(&r);
 	}
 }
@@ -762,7 +762,8 @@
 		if (!cJSON_IsString(e) ||
 		    fl_report_decode(e->valuestring, strlen(e->valuestring), &r) != 0)
 			continue;
-		fl_reconcile_report(n, &r, NULL);
+		/* Heard of, but not to be reached: it is alive, and gets no new task. */
+		fl_reconcile_report(n, &r, NULL, false);
 		fl_report_free(&r);
 	}
 }
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -438,6 +438,7 @@
 
 		p->owner = n;
 		strcpy(p->name, c->peers[i].node);
+		strcpy(p->location, c->peers[i].location);
 		if (fl_http_client_init(&p->http, c->peers[i].addr, choice.peer_conns) != 0)
 			return -EINVAL;
 	}
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -19,7 +19,8 @@
 	char name[FL_NAME_MAX];
 	struct fl_http_client http;
 	struct fl_gossip said;
-	double last_ok; /* steady time of the last answer */
+	char location[FL_NAME_MAX];
+	double up_since; /* steady; while up */
 	bool up;
 };
 
--- a/src/coordination/reconcile.c
+++ b/src/coordination/reconcile.c
@@ -235,7 +235,8 @@
 	fl_books_describe(&n->books, m, kind, zone, r->spot, r->endpoint);
 }
 
-int fl_reconcile_report(struct fl_node *n, const struct fl_report *r, struct fl_orders *orders)
+int fl_reconcile_report(struct fl_node *n, const struct fl_report *r, struct fl_orders *orders,
+			bool reached)
 {
 	double now = fl_now();
 	struct fl_machine *m = fl_machine_get(&n->books.machines, r->host, now);
@@ -253,6 +254,8 @@
 	m->serial = r->serial;
 	m->epoch = r->epoch;
 	m->heard = now;
+	if (reached)
+		m->reached = now;
 	m->up = true;
 	m->foreign = 0;
 	if (r->reclaim_in_s >= 0 && m->reclaim_at == 0) {
--- a/src/coordination/reconcile.h
+++ b/src/coordination/reconcile.h
@@ -9,9 +9,11 @@
 
 /*
  * Takes a report in. With `orders` it is being answered now, and they are added; without, it came
- * by a digest or as the reply to a direct command. -ENOENT: the machine is proven gone.
+ * by a digest, or (`reached`) as the reply to a direct command. -ENOENT: the machine is proven
+ * gone.
  */
-int fl_reconcile_report(struct fl_node *n, const struct fl_report *r, struct fl_orders *orders);
+int fl_reconcile_report(struct fl_node *n, const struct fl_report *r, struct fl_orders *orders,
+			bool reached);
 /* Orders for a direct command; false if there are none. */
 bool fl_reconcile_direct(struct fl_node *n, struct fl_machine *m, struct fl_orders *orders);
 /* The machine is proven gone: so is all that was on it. */
