--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -25,9 +25,11 @@
 	double mass_share;   /* share of machines silent at once that points at us, not at them */
 	double mass_leases;  /* leases of silence after which they are returned all the same */
 	double soon_boots;   /* boot times within which an ending task's room is waited for */
+	double learn_s;      /* s over which the arrival of services is counted */
+	double reserve_sd;   /* spreads of the arrivals expected while a machine boots, on top */
 	int machines_most;   /* rented in one round */
 	int tries;           /* of one rental that goes unanswered */
-} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 2.0, 0.4, 3.0, 0.7, 40, 3};
+} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 2.0, 0.4, 3.0, 0.7, 300.0, 1.0, 40, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
 struct virtual {
@@ -42,7 +44,7 @@
 	int count, cap, fresh;
 	double soon; /* tasks' worth of room that ends before a machine could boot */
 	int zone_machines[FL_ZONES_MAX];
-	double now;
+	double now, wall;
 };
 
 static struct virtual *add_virtual(struct plan *p, int kind, int zone, bool spot, bool fresh)
@@ -210,6 +212,80 @@
 	}
 }
 
+static uint32_t fits_in(const struct fl_job *job, double cpus, double gpus, double ram)
+{
+	double n = 1e6;
+
+	if (job->cpus > 0)
+		n = fmin(n, floor(cpus / job->cpus + 1e-6));
+	if (job->gpus > 0)
+		n = fmin(n, floor(gpus / job->gpus + 1e-6));
+	if (job->ram_gb > 0)
+		n = fmin(n, floor(ram / job->ram_gb + 1e-6));
+	return n > 0 ? (uint32_t)n : 0;
+}
+
+/* Room that a service could have at once: free, or held by what it may stop. */
+static uint32_t room_on(const struct fl_node *n, const struct fl_machine *m,
+			const struct fl_job *like)
+{
+	const struct fl_kind *k = &n->books.machines.kinds[m->kind];
+	double cpus = k->cpus, gpus = k->gpus, ram = k->ram_gb;
+
+	if (m->spot || m->deleting || !job_allows(like, m->kind, m->zone, m->spot))
+		return 0;
+	for (int i = 0; i < m->n_slots; i++) {
+		const struct fl_job *job = m->slots[i].job;
+
+		if (job->tier < like->tier)
+			continue;
+		cpus -= job->cpus;
+		gpus -= job->gpus;
+		ram -= job->ram_gb;
+	}
+	return fits_in(like, cpus, gpus, ram);
+}
+
+/*
+ * A service should not wait for a machine to boot. As many tasks as lately came in one boot time,
+ * and a spread more, must find room at once on machines that are up, be it by stopping arrays.
+ */
+static void plan_reserve(struct plan *p)
+{
+	struct fl_books *b = &p->n->books;
+	const struct fl_job *like = NULL;
+	struct fl_job *job, *tmp;
+	double tasks = 0, need, have = 0;
+	uint32_t none[FL_ZONES_MAX] = {0};
+
+	HASH_ITER(hh, b->jobs, job, tmp) {
+		if (job->kind != FL_STANDING || job->tier < FL_URGENT ||
+		    p->wall - job->submitted > choice.learn_s)
+			continue;
+		tasks += job->parts;
+		if (!like || job->submitted > like->submitted)
+			like = job;
+	}
+	p->n->provision.spare = 1 << 20;
+	if (!like || b->machines.n_kinds == 0)
+		return;
+	need = tasks / choice.learn_s * b->machines.kinds[0].ready_s;
+	need = ceil(need + choice.reserve_sd * sqrt(need));
+	for (int i = 0; i < b->machines.n; i++) {
+		const struct fl_machine *m = b->machines.at[i];
+
+		if (!m->gone && m->described && m->up)
+			have += room_on(p->n, m, like);
+	}
+	p->n->provision.spare = (int)(have - need);
+	for (int i = 0; i < p->count; i++)
+		if (!p->at[i].spot)
+			have += fits_in(like, p->at[i].cpus, p->at[i].gpus, p->at[i].ram);
+	while (have < need && rent_for(p, like, none))
+		have += fmax(1, fits_in(like, p->at[p->count - 1].cpus, p->at[p->count - 1].gpus,
+					p->at[p->count - 1].ram));
+}
+
 static void keep_want(struct fl_provision *pr, const struct plan *p)
 {
 	pr->n_want = 0;
@@ -235,7 +311,7 @@
 void fl_provision_shortage(struct fl_node *n, struct fl_job **jobs, const uint32_t *short_of,
 			   int count)
 {
-	struct plan p = {.n = n, .now = fl_now()};
+	struct plan p = {.n = n, .now = fl_now(), .wall = fl_wall()};
 
 	if (n->provision.busy)
 		return;
@@ -248,6 +324,7 @@
 		for (int i = 0; i < count; i++)
 			if ((int)jobs[i]->tier == tier && short_of[i] > 0)
 				plan_job(&p, jobs[i], short_of[i]);
+	plan_reserve(&p);
 	keep_want(&n->provision, &p);
 	free(p.at);
 }
@@ -430,7 +507,15 @@
 		m->idle_since = now;
 	if (m->avoid_until > now && m->faults > 2)
 		return "faulty";
-	return now - m->idle_since > choice.idle_boots * k->ready_s ? "idle" : NULL;
+	if (now - m->idle_since <= choice.idle_boots * k->ready_s)
+		return NULL;
+	if (m->spot)
+		return "idle";
+	/* An ordinary machine may be part of the reserve for services. */
+	if (n->provision.spare < k->gpus)
+		return NULL;
+	n->provision.spare -= (int)k->gpus;
+	return "idle";
 }
 
 static int return_machines(struct fl_node *n)
--- a/src/coordination/provision.h
+++ b/src/coordination/provision.h
@@ -25,6 +25,7 @@
 	double refused_until[FL_KINDS_KNOWN_MAX][FL_ZONES_MAX][2];
 	double listed_at, kinds_at;
 	struct fl_budget calls;
+	int spare; /* ordinary machines that may be returned without cutting into the reserve */
 };
 
 void fl_provision_begin(struct fl_node *n);
