--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -46,6 +46,7 @@
 	double cpus, gpus, ram_gb, image_gb, expected_s, snapshot_every_s, snapshot_cost_s, due_s;
 	uint32_t kinds; /* bit per allowed machine type */
 	bool together, apart, reclaimable;
+	bool owed;         /* fits its team's guarantee, after the team's earlier jobs */
 	double submitted;  /* wall time */
 	uint64_t rev;      /* KeyRev of the job record */
 	bool aborted;      /* its final record says so; tasks may still have to go */
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -88,6 +88,7 @@
 	memcpy(j->zone_placed, job->zone_placed, sizeof(j->zone_placed));
 	j->zone_unknown = job->zone_unknown;
 	j->bundle = job->bundle;
+	j->owed = job->owed;
 	j->window_left = job->window_until > 0 ? fmax(0, job->window_until - now) : -1;
 	s->jobs[s->in.n_jobs++] = job;
 }
@@ -143,6 +144,35 @@
 	return fl_now() > s->until;
 }
 
+static int by_submission(const void *pa, const void *pb)
+{
+	const struct fl_job *a = *(struct fl_job *const *)pa, *b = *(struct fl_job *const *)pb;
+
+	if (a->submitted != b->submitted)
+		return a->submitted < b->submitted ? -1 : 1;
+	return strcmp(a->ref, b->ref);
+}
+
+/* Which jobs fit their team's guarantee together with the team's earlier ones not yet over. */
+static void mark_owed(struct fl_books *b, struct fl_job **scratch)
+{
+	double cpus[FL_TEAMS_MAX] = {0}, gpus[FL_TEAMS_MAX] = {0};
+	struct fl_job *job, *tmp;
+	size_t n = 0;
+
+	HASH_ITER(hh, b->jobs, job, tmp)
+		if (!job->aborted)
+			scratch[n++] = job;
+	qsort(scratch, n, sizeof(*scratch), by_submission);
+	for (size_t i = 0; i < n; i++) {
+		job = scratch[i];
+		cpus[job->owner] += job->cpus * job->parts;
+		gpus[job->owner] += job->gpus * job->parts;
+		job->owed = fl_team_within_guarantee(&b->teams.at[job->owner], cpus[job->owner],
+						     gpus[job->owner]);
+	}
+}
+
 static int take_snapshot(struct fl_node *n, struct snapshot *s, double now)
 {
 	struct fl_books *b = &n->books;
@@ -167,6 +197,7 @@
 	memcpy(s->in.teams, b->teams.at, sizeof(b->teams.at));
 	s->in.n_teams = b->teams.n;
 	s->in.n_zones = b->zones.n;
+	mark_owed(b, s->jobs);
 	HASH_ITER(hh, b->jobs, job, tmp)
 		if (!job->aborted && job->n_waiting > 0)
 			snap_job(s, job, now, wall);
--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -53,13 +53,9 @@
  * What may stop others to get its room goes before those it may stop. Else the room that a stop
  * has freed is taken by the next in the order, and the stops go on without end.
  */
-static int rank_of(const struct fl_sched_in *in, const struct fl_sched_job *j)
+static int rank_of(const struct fl_sched_job *j)
 {
-	const struct fl_team *t = &in->teams[j->team];
-
-	if (ahead(j))
-		return 2;
-	return fl_team_within_guarantee(t, t->used_cpus + j->cpus, t->used_gpus + j->gpus);
+	return ahead(j) ? 2 : j->owed;
 }
 
 static int by_priority(const void *pa, const void *pb, void *ctx)
@@ -382,8 +378,8 @@
 
 	/* An ensemble claims nothing: stops for a part of it would free room it cannot use yet. */
 	while (claimed < j->waiting && !j->whole && !p->failed) {
-		bool owed = fl_team_within_guarantee(t, t->used_cpus + j->cpus,
-						     t->used_gpus + j->gpus);
+		bool owed = j->owed && fl_team_within_guarantee(t, t->used_cpus + j->cpus,
+								t->used_gpus + j->gpus);
 
 		if (!team_ok(p->in, j) || (!owed && j->tier == FL_BEST_EFFORT) ||
 		    !claim_one(p, j, owed))
@@ -614,7 +610,7 @@
 	}
 	for (int i = 0; i < in->n_jobs; i++) {
 		p.order[i] = i;
-		p.rank[i] = rank_of(in, &in->jobs[i]);
+		p.rank[i] = rank_of(&in->jobs[i]);
 		p.priority[i] = fl_sched_priority(in->params, &in->jobs[i]);
 	}
 	qsort_r(p.order, (size_t)in->n_jobs, sizeof(*p.order), by_priority, &p);
--- a/src/coordination/schedule.h
+++ b/src/coordination/schedule.h
@@ -30,6 +30,7 @@
 	uint32_t kinds;
 	int site;
 	bool together, apart, reclaimable;
+	bool owed; /* fits its team's guarantee together with the team's earlier jobs */
 	uint32_t zone_placed[FL_ZONES_MAX], zone_unknown;
 	int bundle;
 	double window_left; /* remembered backfill window, s; < 0: none yet */
