--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -223,7 +223,6 @@
 	t->sight = FL_UNSEEN;
 	t->stop = FL_STOP_NONE;
 	t->machine = -1;
-	t->sent_serial = 0;
 	t->epoch = 0;
 }
 
@@ -239,7 +238,6 @@
 	t->machine = m->id;
 	t->tenure = m->tenure;
 	t->epoch = epoch;
-	t->sent_serial = 0;
 	t->sight = FL_UNSEEN;
 	t->stop = FL_STOP_NONE;
 	t->since = now;
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -23,7 +23,6 @@
 	int32_t machine;  /* id, while PLACED */
 	uint64_t tenure;  /* of the machine, at placement */
 	uint64_t epoch;   /* in which this leader placed it; 0: read from a record */
-	uint64_t sent_serial; /* the report in whose answer the launch last went out; 0: none */
 	uint64_t gen;     /* of the chunk, when this task last changed */
 	double since;     /* placed; or, when running, began to run */
 	double not_before; /* WAITING: backoff */
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -271,7 +271,8 @@
 	if (b->have > b->burst)
 		b->have = b->burst;
 	b->at = now;
-	if (b->have >= n || b->have >= b->burst) {
+	/* A hair short counts as there: the wait for it could be too short to move a clock. */
+	if (b->have >= n - 1e-9 || b->have >= b->burst) {
 		b->have -= n;
 		return 0;
 	}
--- a/src/coordination/reconcile.c
+++ b/src/coordination/reconcile.c
@@ -34,9 +34,8 @@
 {
 	if (t->epoch == 0 && r->epoch < n->lead.first_epoch)
 		return false;
-	if (m->direct_epoch > 0 && r->epoch <= m->direct_epoch)
-		return false;
-	return r->serial > t->sent_serial;
+	/* An answer's launch is carried out before the worker's next report or never. */
+	return m->direct_epoch == 0 || r->epoch > m->direct_epoch;
 }
 
 /* A finished entry may be dropped by the worker only when no late launch can restart it. */
@@ -222,7 +221,6 @@
 			}
 		} else if (orders && fl_task_durable(job, index)) {
 			fl_orders_add(orders, FL_LAUNCH, job->ref, index, t->attempt, 0);
-			t->sent_serial = r->serial;
 		}
 	}
 }
@@ -280,8 +278,6 @@
 		uint32_t index = m->slots[i].index;
 		struct fl_task *t = fl_task_peek(job, index);
 
-		if (t->tenure != m->tenure)
-			continue;
 		if (!wanted(job, t)) {
 			fl_orders_add(orders, FL_KILL, job->ref, index, t->attempt,
 				      wind_down(job, t));
--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -437,6 +437,9 @@
 {
 	double n = j->waiting;
 
+	/* Promised room can make an amount negative that the job itself needs none of. */
+	if (!fits(j, cpus, gpus, ram))
+		return 0;
 	if (j->cpus > 0)
 		n = fmin(n, floor(cpus / j->cpus + choice.eps));
 	if (j->gpus > 0)
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -82,7 +82,8 @@
 		goto out;
 	query = strchr(msg.url.data ? msg.url.data : "", '?');
 	if (query)
-		*query = 0;
+		*query++ = 0;
+	req.query = query ? query : "";
 	req.method = (enum http_method)msg.parser.method;
 	req.path = msg.url.data ? msg.url.data : "";
 	req.body = msg.body.data ? msg.body.data : "";
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -8,7 +8,8 @@
 
 struct fl_request {
 	enum http_method method;
-	const char *path; /* without the query */
+	const char *path;  /* without the query */
+	const char *query; /* what follows the question mark, or an empty string */
 	const char *body; /* NUL-terminated */
 	size_t body_len;
 };
--- /dev/null
+++ b/tests/test_reconcile.c
@@ -0,0 +1,585 @@
+/*
+ * Jobs, attempts and records under random interleavings: reports late or repeated, answers and
+ * commands lost, late or carried out twice, leaders that end and are followed by others. A plain
+ * world of workers watches that no task is ever on two machines, no team above its limit, no
+ * finished job run again, and that what is called done is done.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <gsl/gsl_rng.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/node.h"
+#include "coordination/reconcile.h"
+#include "transport/clock.h"
+
+enum { W = 4, JOBS = 3, PARTS = 5, MAIL = 400, ON_MACHINE = 64 };
+
+struct entry {
+	struct fl_part part;
+	bool used;
+};
+
+struct worker {
+	uint64_t tenure, serial, epoch;
+	struct entry at[ON_MACHINE];
+	char *answer; /* to the newest report, on its way; gone with the next report */
+};
+
+struct mail {
+	int worker;
+	char *text; /* a report, or the body of a direct command */
+	bool command;
+};
+
+struct world {
+	struct fl_node node;
+	struct fl_config config;
+	struct worker worker[W];
+	struct mail mail[MAIL];
+	int n_mail;
+	char *record[JOBS]; /* progress records, as the state service holds them */
+	bool really_done[JOBS][PARTS];
+	gsl_rng *g;
+	uint64_t epoch;
+	int launches, dones, takeovers;
+	int calm; /* the larger, the rarer a new epoch: late commands stay dangerous for longer */
+};
+
+static int pick(struct world *w, int n)
+{
+	return (int)gsl_rng_uniform_int(w->g, (unsigned long)n);
+}
+
+static void ref_of(int job, char ref[FL_REF_MAX])
+{
+	snprintf(ref, FL_REF_MAX, "run-%06d", job);
+}
+
+static void host_of(int worker, char host[FL_NAME_MAX])
+{
+	snprintf(host, FL_NAME_MAX, "m-%06d", worker);
+}
+
+/* ---- workers ---- */
+
+static char *report_text(struct world *w, int at)
+{
+	struct worker *k = &w->worker[at];
+	struct fl_part parts[ON_MACHINE];
+	struct fl_report r = {.tenure = k->tenure, .serial = ++k->serial, .epoch = k->epoch,
+			      .reclaim_in_s = -1, .parts = parts};
+
+	host_of(at, r.host);
+	strcpy(r.endpoint, "127.0.0.1:1");
+	strcpy(r.kind, "g");
+	strcpy(r.site, at % 2 ? "a" : "b");
+	for (int i = 0; i < ON_MACHINE; i++)
+		if (k->at[i].used)
+			parts[r.n_parts++] = k->at[i].part;
+	return fl_report_encode(&r);
+}
+
+static int live_on(const struct worker *k, const char *ref, uint32_t index)
+{
+	int n = 0;
+
+	for (int i = 0; i < ON_MACHINE; i++)
+		n += k->at[i].used && k->at[i].part.state != FL_ENDED &&
+		     k->at[i].part.index == index && strcmp(k->at[i].part.ref, ref) == 0;
+	return n;
+}
+
+static void check_rules(struct world *w)
+{
+	for (int j = 0; j < JOBS; j++) {
+		char ref[FL_REF_MAX];
+
+		ref_of(j, ref);
+		for (uint32_t p = 0; p < PARTS; p++) {
+			int on = 0;
+
+			for (int k = 0; k < W; k++)
+				on += live_on(&w->worker[k], ref, p);
+			assert_in_range(on, 0, 1); /* ran_twice */
+		}
+	}
+	for (int t = 0; t < 1; t++) {
+		int live = 0;
+
+		for (int k = 0; k < W; k++)
+			for (int i = 0; i < ON_MACHINE; i++)
+				live += w->worker[k].at[i].used &&
+					w->worker[k].at[i].part.state != FL_ENDED;
+		assert_in_range(live, 0, 6); /* quota: 6 cpus at most, one each */
+	}
+}
+
+static void do_launch(struct world *w, struct worker *k, const struct fl_part *p)
+{
+	int job = atoi(p->ref + 4);
+
+	for (int i = 0; i < ON_MACHINE; i++)
+		if (k->at[i].used && k->at[i].part.index == p->index &&
+		    k->at[i].part.attempt == p->attempt &&
+		    strcmp(k->at[i].part.ref, p->ref) == 0)
+			return;
+	for (int i = 0; i < ON_MACHINE; i++) {
+		if (k->at[i].used)
+			continue;
+		k->at[i].used = true;
+		k->at[i].part = *p;
+		k->at[i].part.state = FL_EXECUTING;
+		if (live_on(k, p->ref, p->index) > 1) {
+			k->at[i].part.state = FL_ENDED;
+			k->at[i].part.exit = FL_EXIT_BUSY;
+		} else if (w->really_done[job][p->index]) {
+			k->at[i].part.state = FL_ENDED;
+			k->at[i].part.exit = FL_EXIT_DONE;
+		}
+		w->launches++;
+		check_rules(w);
+		return;
+	}
+	fail_msg("a worker's table is full: nothing is ever forgotten");
+}
+
+static struct entry *entry_of(struct worker *k, const struct fl_part *p)
+{
+	for (int i = 0; i < ON_MACHINE; i++)
+		if (k->at[i].used && k->at[i].part.index == p->index &&
+		    k->at[i].part.attempt == p->attempt &&
+		    strcmp(k->at[i].part.ref, p->ref) == 0)
+			return &k->at[i];
+	return NULL;
+}
+
+static void execute(struct world *w, int at, const char *text, bool direct)
+{
+	struct worker *k = &w->worker[at];
+	cJSON *o = fl_json_parse(text, strlen(text));
+	uint64_t epoch, tenure;
+	const cJSON *e;
+
+	assert_int_equal(fl_json_count(o, "Epoch", &epoch), FL_FIELD_OK);
+	if (epoch < k->epoch)
+		goto out;
+	if (direct && (fl_json_count(o, "Tenure", &tenure) != FL_FIELD_OK || tenure != k->tenure))
+		goto out;
+	k->epoch = epoch;
+	cJSON_ArrayForEach(e, fl_json_get(o, "Orders")) {
+		char verb[16], name[48];
+		struct fl_part p = {0};
+		struct entry *x;
+		uint64_t attempt;
+
+		fl_json_str(e, "Verb", verb, sizeof(verb));
+		fl_json_str(e, "Part", name, sizeof(name));
+		fl_json_count(e, "Try", &attempt);
+		p.attempt = (uint32_t)attempt;
+		p.index = (uint32_t)atoi(strchr(name, '/') + 1);
+		*strchr(name, '/') = 0;
+		strcpy(p.ref, name);
+		x = entry_of(k, &p);
+		if (strcmp(verb, "launch") == 0) {
+			do_launch(w, k, &p);
+		} else if (strcmp(verb, "kill") == 0 && x && x->part.state != FL_ENDED) {
+			x->part.state = FL_ENDED;
+			x->part.exit = FL_EXIT_STOPPED;
+		} else if (strcmp(verb, "forget") == 0 && x && x->part.state == FL_ENDED) {
+			x->used = false;
+		}
+	}
+out:
+	cJSON_Delete(o);
+}
+
+static void drop_answer(struct worker *k)
+{
+	free(k->answer);
+	k->answer = NULL;
+}
+
+/* ---- the leader ---- */
+
+static struct fl_job *add_job(struct world *w, int job)
+{
+	struct fl_run run = {.parts = PARTS, .cpus = 1, .ram_gb = 1, .tier = FL_STANDARD,
+			     .n_host_kinds = -1, .reclaimable = true, .due_s = -1};
+
+	ref_of(job, run.ref);
+	strcpy(run.owner, "team");
+	strcpy(run.job_class, "c");
+	strcpy(run.bundle, "i");
+	return fl_job_add(&w->node.books, &run, 0, 1);
+}
+
+static void take_over(struct world *w)
+{
+	struct fl_node *n = &w->node;
+
+	fl_books_forget_tasks(&n->books);
+	memset(&n->lead, 0, sizeof(n->lead));
+	n->books.leading = n->lead.active = true;
+	n->lease.held = true;
+	n->lease.valid_until = 1e18;
+	n->lease.epoch = n->lead.first_epoch = ++w->epoch;
+	for (int j = 0; j < JOBS; j++) {
+		struct fl_job *job = add_job(w, j);
+		cJSON *v = w->record[j] ? fl_json_parse(w->record[j], strlen(w->record[j])) : NULL;
+
+		if (v)
+			assert_int_equal(fl_chunk_restore(&n->books, job, 0, v, 1, fl_now()), 0);
+		cJSON_Delete(v);
+	}
+	w->takeovers++;
+}
+
+static void place_some(struct world *w)
+{
+	struct fl_books *b = &w->node.books;
+	struct fl_job *job = HASH_COUNT(b->jobs) ? b->jobs : NULL;
+	struct fl_team *t = &b->teams.at[0];
+
+	for (int skip = pick(w, JOBS); job && skip > 0; skip--)
+		job = job->hh.next;
+	for (int i = 0; job && i < b->machines.n; i++) {
+		struct fl_machine *m = b->machines.at[(i + pick(w, W)) % b->machines.n];
+		uint32_t index = fl_task_next_waiting(job, 0, 1e18);
+
+		if (index >= job->parts || !m->up || m->used_cpus >= 4 ||
+		    !fl_team_within_max(t, t->used_cpus + 1, 0))
+			continue;
+		assert_int_equal(
+			fl_task_place(b, job, index, m, w->node.lease.epoch, fl_now()), 0);
+	}
+}
+
+static void save_records(struct world *w)
+{
+	for (int j = 0; j < JOBS; j++) {
+		char ref[FL_REF_MAX];
+		struct fl_job *job;
+
+		ref_of(j, ref);
+		job = fl_job_find(&w->node.books, ref);
+		if (!job || !fl_job_chunk(job, 0))
+			continue;
+		free(w->record[j]);
+		w->record[j] = fl_json_take(fl_chunk_encode(&w->node.books, job, 0));
+		fl_job_chunk(job, 0)->saved_gen = fl_job_chunk(job, 0)->gen;
+	}
+}
+
+static void check_done(struct world *w)
+{
+	for (int j = 0; j < JOBS; j++) {
+		char ref[FL_REF_MAX];
+		struct fl_job *job;
+
+		ref_of(j, ref);
+		job = fl_job_find(&w->node.books, ref);
+		for (uint32_t p = 0; job && p < PARTS; p++) {
+			const struct fl_task *t = fl_task_peek(job, p);
+
+			if (t && t->phase == FL_TASK_DONE)
+				assert_true(w->really_done[j][p]);
+		}
+	}
+}
+
+static void leader_hears(struct world *w, int at, const char *text, bool answered)
+{
+	struct fl_orders orders;
+	struct fl_report r;
+
+	assert_int_equal(fl_report_decode(text, strlen(text), &r), 0);
+	fl_orders_init(&orders, w->node.lease.epoch);
+	if (fl_reconcile_report(&w->node, &r, answered ? &orders : NULL, answered) == 0 &&
+	    answered) {
+		drop_answer(&w->worker[at]);
+		w->worker[at].answer = fl_orders_take(&orders);
+	} else {
+		cJSON_Delete(orders.root);
+	}
+	fl_report_free(&r);
+	check_done(w);
+}
+
+static void post(struct world *w, int at, char *text, bool command)
+{
+	if (w->n_mail == MAIL) {
+		free(w->mail[0].text);
+		memmove(w->mail, w->mail + 1, sizeof(w->mail[0]) * (MAIL - 1));
+		w->n_mail--;
+	}
+	w->mail[w->n_mail++] = (struct mail){at, text, command};
+}
+
+static void command_directly(struct world *w, int at)
+{
+	struct fl_orders orders;
+	char host[FL_NAME_MAX], *text;
+	struct fl_machine *m;
+
+	host_of(at, host);
+	m = fl_machine_find(&w->node.books.machines, host);
+	if (!m || !m->up)
+		return;
+	fl_orders_init(&orders, w->node.lease.epoch);
+	fl_orders_tenure(&orders, m->tenure);
+	if (!fl_reconcile_direct(&w->node, m, &orders)) {
+		cJSON_Delete(orders.root);
+		return;
+	}
+	text = fl_orders_take(&orders);
+	if (pick(w, 2)) {
+		execute(w, at, text, true);
+		if (pick(w, 2)) {
+			char *r = report_text(w, at);
+
+			leader_hears(w, at, r, false);
+			free(r);
+		}
+	}
+	/* Late, or once more after it was carried out. */
+	post(w, at, text, true);
+}
+
+static void deliver_late(struct world *w)
+{
+	struct mail *m;
+
+	if (w->n_mail == 0)
+		return;
+	m = &w->mail[pick(w, w->n_mail)];
+	if (m->command)
+		execute(w, m->worker, m->text, true);
+	else
+		leader_hears(w, m->worker, m->text, false);
+}
+
+/* ---- what happens ---- */
+
+static void worker_reports(struct world *w, int at)
+{
+	struct worker *k = &w->worker[at];
+	char *text;
+
+	/* An answer still on its way is carried out before the next report or never. */
+	if (k->answer && pick(w, 4))
+		execute(w, at, k->answer, false);
+	drop_answer(k);
+	text = report_text(w, at);
+	if (pick(w, 5))
+		leader_hears(w, at, text, true);
+	post(w, at, text, false);
+}
+
+static void something_ends(struct world *w, int at)
+{
+	struct worker *k = &w->worker[at];
+	struct fl_part *p = &k->at[pick(w, ON_MACHINE)].part;
+
+	for (int i = 0; i < ON_MACHINE; i++) {
+		if (!k->at[i].used || k->at[i].part.state == FL_ENDED || pick(w, 3))
+			continue;
+		p = &k->at[i].part;
+		p->state = FL_ENDED;
+		p->exit = pick(w, 4) == 0 ? FL_EXIT_DONE : FL_EXIT_ERROR;
+		if (p->exit == FL_EXIT_DONE) {
+			w->really_done[atoi(p->ref + 4)][p->index] = true;
+			w->dones++;
+		}
+		return;
+	}
+}
+
+static void session_ends(struct world *w, int at)
+{
+	struct worker *k = &w->worker[at];
+
+	memset(k->at, 0, sizeof(k->at));
+	k->tenure++;
+	drop_answer(k);
+}
+
+static void step(struct world *w)
+{
+	int at = pick(w, W);
+
+	switch (pick(w, 24)) {
+	case 0:
+		if (pick(w, 4) == 0)
+			session_ends(w, at);
+		break;
+	case 1:
+		if (pick(w, 4 * w->calm) == 0)
+			take_over(w);
+		break;
+	case 2:
+		if (pick(w, 3 * w->calm) == 0)
+			w->node.lease.epoch = ++w->epoch;
+		break;
+	case 3:
+	case 4:
+	case 5:
+		deliver_late(w);
+		break;
+	case 6:
+	case 7:
+		command_directly(w, at);
+		break;
+	case 8:
+	case 9:
+		something_ends(w, at);
+		break;
+	case 10:
+	case 11:
+	case 12:
+		save_records(w);
+		break;
+	case 13:
+	case 14:
+		place_some(w);
+		break;
+	case 15: {
+		/* The scheduler stops something to make room. */
+		struct fl_machine *m = w->node.books.machines.n
+					       ? w->node.books.machines.at[0]
+					       : NULL;
+
+		if (m && m->n_slots > 0)
+			fl_task_peek(m->slots[0].job, m->slots[0].index)->stop = FL_STOP_PREEMPT;
+		break;
+	}
+	default:
+		worker_reports(w, at);
+	}
+	check_rules(w);
+}
+
+static void set_up(struct world *w, unsigned long seed)
+{
+	struct fl_host_kind kind = {.name = "g", .cpus = 4, .ram_gb = 64, .pull_gb_s = 1,
+				    .price = 1, .ready_s = 10, .sites = {"a", "b"}, .n_sites = 2};
+	struct fl_books *b = &w->node.books;
+
+	memset(w, 0, sizeof(*w));
+	w->g = gsl_rng_alloc(gsl_rng_mt19937);
+	gsl_rng_set(w->g, seed);
+	w->node.config = &w->config;
+	w->calm = seed % 3 == 0 ? 1 : seed % 3 == 1 ? 8 : 40;
+	fl_names_add(&b->zones, "a");
+	fl_names_add(&b->zones, "b");
+	fl_kinds_set(&b->machines, &b->zones, &kind, 1);
+	strcpy(b->teams.at[0].name, "team");
+	b->teams.at[0].cpus_max = 6;
+	b->teams.n = 1;
+	for (int i = 0; i < W; i++)
+		w->worker[i].tenure = 1;
+	take_over(w);
+}
+
+static void tear_down(struct world *w)
+{
+	for (int i = 0; i < w->n_mail; i++)
+		free(w->mail[i].text);
+	for (int i = 0; i < W; i++)
+		drop_answer(&w->worker[i]);
+	for (int i = 0; i < JOBS; i++)
+		free(w->record[i]);
+	fl_books_free(&w->node.books);
+	gsl_rng_free(w->g);
+}
+
+static void no_interleaving_breaks_a_rule(void **state)
+{
+	struct world *w = malloc(sizeof(*w));
+	int launches = 0, dones = 0, takeovers = 0, finished = 0;
+
+	(void)state;
+	for (unsigned long seed = 1; seed <= 150; seed++) {
+		set_up(w, seed);
+		for (int i = 0; i < 1500; i++)
+			step(w);
+		launches += w->launches;
+		dones += w->dones;
+		takeovers += w->takeovers;
+		for (int j = 0; j < JOBS; j++) {
+			bool all = true;
+
+			for (int p = 0; p < PARTS; p++)
+				all = all && w->really_done[j][p];
+			finished += all;
+		}
+		tear_down(w);
+	}
+	/* The walk must get somewhere: jobs finish, leaders change. */
+	assert_true(launches > 4000 && dones > 600 && takeovers > 500 && finished > 10);
+	free(w);
+}
+
+/* A job cancelled before any task was placed has no chunks: it once ended the leader. */
+static void a_job_without_chunks_is_harmless(void **state)
+{
+	struct world *w = malloc(sizeof(*w));
+	struct fl_job *job;
+
+	(void)state;
+	set_up(w, 1);
+	job = fl_job_find(&w->node.books, "run-000000");
+	assert_null(fl_job_chunk(job, 0));
+	assert_true(fl_task_durable(job, 0));
+	assert_null(fl_task_peek(job, PARTS - 1));
+	fl_job_finalise(&w->node.books, job, FL_ABORTED);
+	assert_int_equal(fl_final_find(&w->node.books, "run-000000")->status, FL_ABORTED);
+	tear_down(w);
+	free(w);
+}
+
+/* A machine's attempts count in their zone from when the zone is known, and not before. */
+static void zones_are_counted_when_they_become_known(void **state)
+{
+	static const char record[] = "{\"d\":[[0,1]],\"t\":[[2,7]],\"m\":[[3,2,\"m-000009\",1]]}";
+	struct world *w = malloc(sizeof(*w));
+	struct fl_books *b;
+	struct fl_job *job;
+	cJSON *v;
+
+	(void)state;
+	set_up(w, 1);
+	b = &w->node.books;
+	job = fl_job_find(b, "run-000001");
+	v = fl_json_parse(record, strlen(record));
+	assert_int_equal(fl_chunk_restore(b, job, 0, v, 5, fl_now()), 0);
+	cJSON_Delete(v);
+	assert_int_equal(job->n_done, 2);
+	assert_int_equal(job->zone_unknown, 1);
+	assert_int_equal(fl_task_peek(job, 2)->attempt, 7);
+	fl_books_describe(b, fl_machine_find(&b->machines, "m-000009"), 0, 1, false, "x");
+	assert_int_equal(job->zone_unknown, 0);
+	assert_int_equal(job->zone_placed[1], 1);
+	fl_task_release(b, job, 3, 0);
+	assert_int_equal(job->zone_placed[1], 0);
+	assert_int_equal(job->n_placed, 0);
+	tear_down(w);
+	free(w);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(no_interleaving_breaks_a_rule),
+		cmocka_unit_test(a_job_without_chunks_is_harmless),
+		cmocka_unit_test(zones_are_counted_when_they_become_known),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_schedule.c
@@ -0,0 +1,704 @@
+/*
+ * The scheduling pass against a slow, plain retelling of the same rules, on random snapshots; and
+ * the weak points that the design names, each by itself.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <gsl/gsl_rng.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/schedule.h"
+
+enum { J = 14, M = 9, R = 24, T = 3, Z = 3, STARTS = 400 };
+
+struct world {
+	struct fl_sched_job jobs[J];
+	struct fl_sched_machine machines[M];
+	int cache[M][FL_CACHE_NOTE];
+	struct fl_sched_run runs[R];
+	struct fl_team teams[T];
+	int n_jobs, n_machines, n_runs;
+};
+
+/* ---- the model ---- */
+
+struct model {
+	struct world w;
+	bool stopped_now[R], promised[M];
+	double later[M][3]; /* room that stops will free */
+	struct fl_sched_start starts[STARTS];
+	int stops[R];
+	int n_starts, n_stops, top;
+	double window;
+	uint32_t short_of[J];
+};
+
+static bool m_allowed(const struct fl_sched_job *j, const struct fl_sched_machine *m)
+{
+	if (!(j->kinds & (1u << m->kind)))
+		return false;
+	if (j->site >= 0 && m->zone != j->site)
+		return false;
+	return !m->spot || j->reclaimable;
+}
+
+static bool m_room(const struct fl_sched_job *j, double c, double g, double r)
+{
+	return c >= j->cpus - 1e-6 && g >= j->gpus - 1e-6 && r >= j->ram_gb - 1e-6;
+}
+
+static bool m_zone(const struct fl_sched_job *j, int zone)
+{
+	if (j->apart && j->zone_placed[zone] + j->zone_unknown >= (j->parts + 1) / 2)
+		return false;
+	if (j->together) {
+		if (j->zone_unknown)
+			return false;
+		for (int z = 0; z < FL_ZONES_MAX; z++)
+			if (j->zone_placed[z] && z != zone)
+				return false;
+	}
+	return true;
+}
+
+static bool m_team(const struct model *m, const struct fl_sched_job *j)
+{
+	const struct fl_team *t = &m->w.teams[j->team];
+
+	return (t->cpus_max == 0 || t->used_cpus + j->cpus <= t->cpus_max + 1e-6) &&
+	       (t->gpus_max == 0 || t->used_gpus + j->gpus <= t->gpus_max + 1e-6);
+}
+
+static bool m_in_guarantee(const struct fl_team *t, double c, double g)
+{
+	if (t->cpus == 0 && t->gpus == 0)
+		return false;
+	if (t->cpus > 0 && c > t->cpus + 1e-6)
+		return false;
+	return t->gpus > 0 ? g <= t->gpus + 1e-6 : g <= 1e-6;
+}
+
+static double m_score(const struct fl_sched_job *j, const struct fl_sched_machine *m)
+{
+	double s = m->gpus - j->gpus;
+	int at = 0;
+
+	while (at < FL_CACHE_NOTE && m->cache[at] != j->bundle)
+		at++;
+	if (at == FL_CACHE_NOTE)
+		s += j->image_gb / m->pull_gb_s;
+	if (j->reclaimable && !m->spot)
+		s += 8;
+	if (j->apart)
+		s += 1000.0 * j->zone_placed[m->zone];
+	return s;
+}
+
+static int m_count(const struct fl_sched_job *j, double c, double g, double r)
+{
+	int n = 0;
+
+	while (n < 1000 && m_room(j, c, g, r)) {
+		c -= j->cpus;
+		g -= j->gpus;
+		r -= j->ram_gb;
+		n++;
+	}
+	return n;
+}
+
+static int m_zone_choice(const struct model *m, const struct fl_sched_job *j)
+{
+	int best = -1, best_room = 0;
+
+	if (!j->together)
+		return -1;
+	for (int z = 0; z < Z; z++)
+		if (j->zone_placed[z])
+			return z;
+	for (int z = 0; z < Z; z++) {
+		int room = 0;
+
+		for (int i = 0; i < m->w.n_machines; i++) {
+			const struct fl_sched_machine *k = &m->w.machines[i];
+
+			if (k->zone == z && m_allowed(j, k))
+				room += m_count(j, k->cpus, k->gpus, k->ram_gb);
+		}
+		if (room > best_room) {
+			best_room = room;
+			best = z;
+		}
+	}
+	return best;
+}
+
+static bool m_start(struct model *m, int job, const double *until, double est)
+{
+	struct fl_sched_job *j = &m->w.jobs[job];
+	struct model before = *m;
+	int zone = m_zone_choice(m, j);
+	bool no_room = false;
+
+	while (j->waiting > 0) {
+		int best = -1;
+
+		if (!m_team(m, j))
+			break;
+		for (int i = 0; i < m->w.n_machines; i++) {
+			struct fl_sched_machine *k = &m->w.machines[i];
+
+			if (zone >= 0 && k->zone != zone)
+				continue;
+			if (!m_allowed(j, k) || !m_room(j, k->cpus, k->gpus, k->ram_gb) ||
+			    !m_zone(j, k->zone) || (until && est > until[i]))
+				continue;
+			if (best < 0 || m_score(j, k) < m_score(j, &m->w.machines[best]))
+				best = i;
+		}
+		if (best < 0) {
+			no_room = true;
+			break;
+		}
+		m->starts[m->n_starts++] = (struct fl_sched_start){job, best};
+		m->w.machines[best].cpus -= j->cpus;
+		m->w.machines[best].gpus -= j->gpus;
+		m->w.machines[best].ram_gb -= j->ram_gb;
+		m->w.teams[j->team].used_cpus += j->cpus;
+		m->w.teams[j->team].used_gpus += j->gpus;
+		j->zone_placed[m->w.machines[best].zone]++;
+		j->waiting--;
+	}
+	if (j->whole && j->waiting > 0)
+		*m = before;
+	return no_room;
+}
+
+static bool m_victim(const struct model *m, const struct fl_sched_job *j,
+		     const struct fl_sched_run *r, bool owed)
+{
+	const struct fl_team *t = &m->w.teams[r->team];
+
+	if (r->stopping || !r->movable)
+		return false;
+	if (r->tier < j->tier)
+		return true;
+	return owed && r->team != j->team && !r->standing &&
+	       !m_in_guarantee(t, t->used_cpus, t->used_gpus);
+}
+
+/* Cost of making room for one task on a machine; the victims in `set`. */
+static double m_clear(const struct model *m, const struct fl_sched_job *j, int machine, bool owed,
+		      bool *set)
+{
+	const struct fl_sched_machine *k = &m->w.machines[machine];
+	double c = k->cpus + m->later[machine][0], g = k->gpus + m->later[machine][1];
+	double r = k->ram_gb + m->later[machine][2], cost = 0;
+
+	memset(set, 0, sizeof(bool) * R);
+	while (!m_room(j, c, g, r)) {
+		int cheapest = -1;
+
+		for (int i = 0; i < m->w.n_runs; i++) {
+			const struct fl_sched_run *v = &m->w.runs[i];
+
+			if (v->machine == machine && !set[i] && m_victim(m, j, v, owed) &&
+			    (cheapest < 0 || v->lost_s < m->w.runs[cheapest].lost_s))
+				cheapest = i;
+		}
+		if (cheapest < 0)
+			return INFINITY;
+		set[cheapest] = true;
+		c += m->w.runs[cheapest].cpus;
+		g += m->w.runs[cheapest].gpus;
+		r += m->w.runs[cheapest].ram_gb;
+		cost += m->w.runs[cheapest].lost_s + 1;
+	}
+	return cost;
+}
+
+static uint32_t m_claim(struct model *m, int job)
+{
+	struct fl_sched_job *j = &m->w.jobs[job];
+	struct fl_team saved = m->w.teams[j->team], *t = &m->w.teams[j->team];
+	uint32_t claimed = 0;
+	bool set[R];
+
+	while (claimed < j->waiting && !j->whole) {
+		bool owed = j->owed &&
+			    m_in_guarantee(t, t->used_cpus + j->cpus, t->used_gpus + j->gpus);
+		double best_cost = INFINITY;
+		int best = -1;
+
+		if (!m_team(m, j) || (!owed && j->tier == FL_BEST_EFFORT))
+			break;
+		for (int i = 0; i < m->w.n_machines; i++) {
+			double cost;
+
+			if (!m_allowed(j, &m->w.machines[i]) || !m_zone(j, m->w.machines[i].zone))
+				continue;
+			cost = m_clear(m, j, i, owed, set) + m_score(j, &m->w.machines[i]);
+			if (cost < best_cost) {
+				best_cost = cost;
+				best = i;
+			}
+		}
+		if (best < 0)
+			break;
+		m_clear(m, j, best, owed, set);
+		/* Cheapest first, as they were chosen. */
+		for (;;) {
+			int next = -1;
+
+			for (int i = 0; i < m->w.n_runs; i++)
+				if (set[i] && (next < 0 ||
+					       m->w.runs[i].lost_s < m->w.runs[next].lost_s))
+					next = i;
+			if (next < 0)
+				break;
+			set[next] = false;
+			m->stops[m->n_stops++] = next;
+			m->w.runs[next].stopping = true;
+			m->later[best][0] += m->w.runs[next].cpus;
+			m->later[best][1] += m->w.runs[next].gpus;
+			m->later[best][2] += m->w.runs[next].ram_gb;
+		}
+		m->w.machines[best].cpus -= j->cpus;
+		m->w.machines[best].gpus -= j->gpus;
+		m->w.machines[best].ram_gb -= j->ram_gb;
+		j->zone_placed[m->w.machines[best].zone]++;
+		t->used_cpus += j->cpus;
+		t->used_gpus += j->gpus;
+		claimed++;
+	}
+	*t = saved;
+	return claimed;
+}
+
+/* Would the job's next start fit at this time from now, by the estimates? */
+static bool m_fits_at(const struct model *m, const struct fl_sched_job *j, double at)
+{
+	int in_zone[Z] = {0}, all = 0;
+
+	for (int i = 0; i < m->w.n_machines; i++) {
+		const struct fl_sched_machine *k = &m->w.machines[i];
+		double c = k->cpus, g = k->gpus, r = k->ram_gb;
+		int n;
+
+		for (int x = 0; x < m->w.n_runs; x++) {
+			if (m->w.runs[x].machine != i || m->w.runs[x].left_s > at ||
+			    m->w.runs[x].left_s == INFINITY)
+				continue;
+			c += m->w.runs[x].cpus;
+			g += m->w.runs[x].gpus;
+			r += m->w.runs[x].ram_gb;
+		}
+		if (!m_allowed(j, k))
+			continue;
+		if (!j->whole && !m_zone(j, k->zone))
+			continue;
+		n = m_count(j, c, g, r);
+		if (!j->whole && n > 0)
+			return true;
+		in_zone[k->zone] += n;
+		all += n;
+	}
+	if (!j->whole)
+		return false;
+	for (int z = 0; j->together && z < Z; z++)
+		if (in_zone[z] >= (int)j->waiting)
+			return true;
+	return !j->together && all >= (int)j->waiting;
+}
+
+static double m_hpwait(const struct model *m, const struct fl_sched_job *j)
+{
+	double best = INFINITY;
+
+	if (m_fits_at(m, j, 0))
+		return 0;
+	for (int i = 0; i < m->w.n_runs; i++)
+		if (m->w.runs[i].left_s < best && m_fits_at(m, j, m->w.runs[i].left_s))
+			best = m->w.runs[i].left_s;
+	return best;
+}
+
+static void model_pass(struct model *m)
+{
+	bool looked[J] = {false};
+	double until[M];
+
+	m->top = -1;
+	for (int i = 0; i < m->w.n_runs; i++) {
+		if (!m->w.runs[i].stopping)
+			continue;
+		m->later[m->w.runs[i].machine][0] += m->w.runs[i].cpus;
+		m->later[m->w.runs[i].machine][1] += m->w.runs[i].gpus;
+		m->later[m->w.runs[i].machine][2] += m->w.runs[i].ram_gb;
+	}
+	for (;;) {
+		int next = -1, next_rank = 0;
+		double next_p = 0;
+		struct fl_sched_job *j;
+		bool first, backfill, no_room;
+
+		for (int i = 0; i < m->w.n_jobs; i++) {
+			const struct fl_sched_job *c = &m->w.jobs[i];
+			int rank = c->standing && c->tier >= FL_URGENT ? 2 : c->owed ? 1 : 0;
+			double wait = fmax(c->waited_s, 0.1), est = c->est_s > 0 ? c->est_s : 3600;
+			double tier[] = {0.1, 1, 10, 100};
+			double p = wait / 3600 * pow(est / 3600, -1) * (c->cpus * c->parts / 32) *
+				   tier[c->tier];
+
+			if (looked[i])
+				continue;
+			if (next < 0 || rank > next_rank || (rank == next_rank && p > next_p)) {
+				next = i;
+				next_rank = rank;
+				next_p = p;
+			}
+		}
+		if (next < 0)
+			return;
+		looked[next] = true;
+		j = &m->w.jobs[next];
+		if (j->waiting == 0)
+			continue;
+		first = next_rank == 2;
+		backfill = m->top >= 0 && !first;
+		no_room = m_start(m, next, backfill ? until : NULL,
+				  j->standing && j->est_s <= 0 ? INFINITY
+				  : j->est_s > 0	       ? j->est_s
+							       : 3600);
+		if (!no_room)
+			continue;
+		m->short_of[next] = j->waiting - m_claim(m, next);
+		if (m->short_of[next] == 0 || m->top >= 0)
+			continue;
+		m->top = next;
+		m->window = 4 * m_hpwait(m, j);
+		if (j->window_left >= 0)
+			m->window = fmin(m->window, j->window_left);
+		for (int i = 0; i < m->w.n_machines; i++)
+			until[i] = m_allowed(j, &m->w.machines[i]) ? m->window : INFINITY;
+	}
+}
+
+/* ---- random snapshots ---- */
+
+static double pick(gsl_rng *g, int n)
+{
+	return (double)gsl_rng_uniform_int(g, (unsigned long)n);
+}
+
+static void random_world(gsl_rng *g, struct world *w)
+{
+	memset(w, 0, sizeof(*w));
+	w->n_jobs = 1 + (int)pick(g, J);
+	w->n_machines = 1 + (int)pick(g, M);
+	for (int t = 0; t < T; t++) {
+		w->teams[t].gpus = pick(g, 2) ? pick(g, 9) : 0;
+		w->teams[t].gpus_max = pick(g, 2) ? 4 + pick(g, 20) : 0;
+		w->teams[t].cpus_max = pick(g, 3) ? 0 : 20 + pick(g, 60);
+	}
+	for (int i = 0; i < w->n_machines; i++) {
+		for (int c = 0; c < FL_CACHE_NOTE; c++)
+			w->cache[i][c] = c < 2 ? (int)pick(g, 5) : -1;
+		w->machines[i] = (struct fl_sched_machine){(int)pick(g, 2), (int)pick(g, Z),
+							   pick(g, 2) > 0, 16, 4, 64, 0.5,
+							   w->cache[i]};
+	}
+	for (int i = 0; i < R; i++) {
+		struct fl_sched_run r = {0};
+		struct fl_sched_machine *m;
+
+		r.machine = (int)pick(g, w->n_machines);
+		m = &w->machines[r.machine];
+		r.team = (int)pick(g, T);
+		r.tier = (enum fl_tier)pick(g, 4);
+		r.standing = pick(g, 3) == 0;
+		r.stopping = pick(g, 6) == 0;
+		r.movable = !r.stopping;
+		r.cpus = 1 + pick(g, 6);
+		r.gpus = pick(g, 3);
+		r.ram_gb = 4 + pick(g, 12);
+		r.left_s = r.standing ? INFINITY : 1 + pick(g, 200);
+		r.lost_s = pick(g, 100) + 0.001 * i;
+		if (r.cpus > m->cpus || r.gpus > m->gpus || r.ram_gb > m->ram_gb)
+			continue;
+		m->cpus -= r.cpus;
+		m->gpus -= r.gpus;
+		m->ram_gb -= r.ram_gb;
+		w->teams[r.team].used_cpus += r.cpus;
+		w->teams[r.team].used_gpus += r.gpus;
+		w->runs[w->n_runs++] = r;
+	}
+	for (int i = 0; i < w->n_jobs; i++) {
+		struct fl_sched_job *j = &w->jobs[i];
+
+		j->standing = pick(g, 3) == 0;
+		j->whole = !j->standing && pick(g, 4) == 0;
+		j->tier = (enum fl_tier)pick(g, 4);
+		j->team = (int)pick(g, T);
+		j->owed = pick(g, 3) == 0;
+		j->waited_s = pick(g, 300) + 0.01 * i;
+		j->est_s = j->standing || pick(g, 8) == 0 ? 0 : 10 + pick(g, 300);
+		j->cpus = 1 + pick(g, 6);
+		j->gpus = pick(g, 3);
+		j->ram_gb = 1 + pick(g, 16);
+		j->image_gb = pick(g, 10);
+		j->parts = 1 + (uint32_t)pick(g, 8);
+		j->waiting = 1 + (uint32_t)pick(g, (int)j->parts);
+		j->kinds = pick(g, 3) ? UINT32_MAX : 1u + (uint32_t)pick(g, 2);
+		j->site = pick(g, 5) ? -1 : (int)pick(g, Z);
+		j->together = pick(g, 5) == 0;
+		j->apart = !j->together && pick(g, 3) == 0;
+		j->reclaimable = pick(g, 2) > 0;
+		j->bundle = (int)pick(g, 5);
+		j->window_left = pick(g, 2) ? -1 : pick(g, 300);
+	}
+}
+
+static void run_real(struct world *w, struct fl_sched_out *out)
+{
+	struct fl_sched_in in = {
+		.params = &fl_sched_defaults,
+		.jobs = w->jobs,
+		.n_jobs = w->n_jobs,
+		.machines = w->machines,
+		.n_machines = w->n_machines,
+		.runs = w->runs,
+		.n_runs = w->n_runs,
+		.teams = w->teams,
+		.n_teams = T,
+		.n_zones = Z,
+	};
+
+	assert_int_equal(fl_schedule(&in, out), 0);
+}
+
+static void the_pass_decides_like_the_plain_model(void **state)
+{
+	gsl_rng *g = gsl_rng_alloc(gsl_rng_mt19937);
+	struct model *m = malloc(sizeof(*m));
+	struct world *w = malloc(sizeof(*w));
+	int starts = 0, stops = 0, tops = 0;
+
+	(void)state;
+	gsl_rng_set(g, 7);
+	for (int round = 0; round < 4000; round++) {
+		struct fl_sched_out out;
+
+		random_world(g, w);
+		memset(m, 0, sizeof(*m));
+		m->w = *w;
+		model_pass(m);
+		run_real(w, &out);
+		assert_int_equal(out.n_starts, m->n_starts);
+		for (int i = 0; i < out.n_starts; i++) {
+			assert_int_equal(out.starts[i].job, m->starts[i].job);
+			assert_int_equal(out.starts[i].machine, m->starts[i].machine);
+		}
+		assert_int_equal(out.n_stops, m->n_stops);
+		for (int i = 0; i < out.n_stops; i++)
+			assert_int_equal(out.stops[i], m->stops[i]);
+		assert_int_equal(out.top, m->top);
+		if (m->top >= 0)
+			assert_true(out.window_s == m->window ||
+				    fabs(out.window_s - m->window) < 1e-6);
+		for (int i = 0; i < w->n_jobs; i++)
+			assert_int_equal(out.short_of[i], m->short_of[i]);
+		starts += out.n_starts;
+		stops += out.n_stops;
+		tops += out.top >= 0;
+		fl_sched_free(&out);
+	}
+	/* The snapshots must reach all of it. */
+	assert_true(starts > 4000 && stops > 400 && tops > 400);
+	free(m);
+	free(w);
+	gsl_rng_free(g);
+}
+
+/* ---- the weak points, one by one ---- */
+
+static int no_cache[FL_CACHE_NOTE];
+
+static struct fl_sched_job plain_job(double cpus, uint32_t waiting, double est, double waited)
+{
+	return (struct fl_sched_job){.tier = FL_STANDARD, .cpus = cpus, .ram_gb = 1,
+				     .parts = waiting, .waiting = waiting, .est_s = est,
+				     .waited_s = waited, .kinds = 1, .site = -1,
+				     .window_left = -1};
+}
+
+static struct fl_sched_machine plain_machine(double cpus)
+{
+	return (struct fl_sched_machine){.cpus = cpus, .ram_gb = 64, .pull_gb_s = 1,
+					 .cache = no_cache};
+}
+
+static struct fl_sched_run plain_run(int machine, double cpus, double left)
+{
+	return (struct fl_sched_run){.machine = machine, .tier = FL_STANDARD, .movable = true,
+				     .cpus = cpus, .ram_gb = 1, .left_s = left};
+}
+
+/* Two halves free in 10 s on two machines; a whole machine only in 100 s. */
+static void scattered_room_is_no_room(void **state)
+{
+	struct world w = {.n_jobs = 2, .n_machines = 2, .n_runs = 4};
+	struct fl_sched_out out;
+
+	(void)state;
+	w.jobs[0] = plain_job(8, 1, 60, 1000);
+	w.jobs[1] = plain_job(1, 1, 300, 1);
+	w.machines[0] = plain_machine(1);
+	w.machines[1] = plain_machine(0);
+	for (int i = 0; i < 2; i++) {
+		w.runs[2 * i] = plain_run(i, 4, 10);
+		w.runs[2 * i + 1] = plain_run(i, 4, 100);
+	}
+	run_real(&w, &out);
+	assert_int_equal(out.top, 0);
+	/* Judged by cores in total, it would be 4 * 10. */
+	assert_true(fabs(out.window_s - 4 * 100) < 1e-6);
+	assert_int_equal(out.n_starts, 1);
+	fl_sched_free(&out);
+}
+
+/* The window is remembered: it may shrink but not begin anew each pass. */
+static void a_burst_cannot_push_the_top_job_back_for_ever(void **state)
+{
+	struct world w = {.n_jobs = 2, .n_machines = 1, .n_runs = 1};
+	struct fl_sched_out out;
+
+	(void)state;
+	w.jobs[0] = plain_job(8, 1, 60, 1000);
+	w.jobs[1] = plain_job(1, 1, 50, 1);
+	w.machines[0] = plain_machine(2);
+	w.runs[0] = plain_run(0, 6, 100);
+	run_real(&w, &out);
+	assert_int_equal(out.n_starts, 1);
+	fl_sched_free(&out);
+
+	w.jobs[0].window_left = 40; /* what is left of the window that was set long ago */
+	w.jobs[1] = plain_job(1, 1, 50, 1);
+	w.machines[0] = plain_machine(2);
+	run_real(&w, &out);
+	assert_true(out.window_s <= 40);
+	assert_int_equal(out.n_starts, 0);
+	fl_sched_free(&out);
+}
+
+static void an_ensemble_starts_whole_or_not_at_all(void **state)
+{
+	struct world w = {.n_jobs = 1, .n_machines = 2};
+	struct fl_sched_out out;
+
+	(void)state;
+	w.jobs[0] = plain_job(4, 4, 60, 10);
+	w.jobs[0].whole = true;
+	w.machines[0] = plain_machine(8);
+	w.machines[1] = plain_machine(7);
+	run_real(&w, &out);
+	assert_int_equal(out.n_starts, 0);
+	assert_true(w.machines[0].cpus == 8 && w.machines[1].cpus == 7);
+	fl_sched_free(&out);
+	w.jobs[0].waiting = 4;
+	w.machines[1] = plain_machine(8);
+	run_real(&w, &out);
+	assert_int_equal(out.n_starts, 4);
+	fl_sched_free(&out);
+}
+
+/* What was stopped and is not gone yet is room already promised: nothing more is stopped. */
+static void room_on_its_way_is_not_claimed_twice(void **state)
+{
+	struct world w = {.n_jobs = 1, .n_machines = 2, .n_runs = 2};
+	struct fl_sched_out out;
+
+	(void)state;
+	w.jobs[0] = plain_job(4, 1, 0, 1);
+	w.jobs[0].standing = true;
+	w.jobs[0].tier = FL_CRITICAL;
+	w.machines[0] = plain_machine(0);
+	w.machines[1] = plain_machine(0);
+	w.runs[0] = plain_run(0, 4, 50);
+	w.runs[1] = plain_run(1, 4, 50);
+	run_real(&w, &out);
+	assert_int_equal(out.n_stops, 1);
+	fl_sched_free(&out);
+	w.machines[0] = plain_machine(0);
+	w.machines[1] = plain_machine(0);
+	w.jobs[0].waiting = 1;
+	w.jobs[0].zone_placed[0] = 0;
+	assert_true(w.runs[0].stopping != w.runs[1].stopping);
+	run_real(&w, &out);
+	assert_int_equal(out.n_stops, 0);
+	assert_int_equal(out.short_of[0], 0);
+	fl_sched_free(&out);
+}
+
+static int allowance;
+
+static bool spent(void *ctx)
+{
+	(void)ctx;
+	return allowance-- <= 0;
+}
+
+/* A pass that runs out of time goes on where it stopped: every job is looked at in the end. */
+static void a_pass_goes_on_where_the_last_one_stopped(void **state)
+{
+	struct world w = {.n_jobs = 12, .n_machines = 1, .n_runs = 1};
+	bool started[J] = {false};
+	int resume = 0, passes = 0;
+
+	(void)state;
+	w.jobs[0] = plain_job(64, 1, 60, 5000);
+	for (int i = 1; i < w.n_jobs; i++)
+		w.jobs[i] = plain_job(1, 1, 10, 100 - i);
+	w.machines[0] = plain_machine(32);
+	w.runs[0] = plain_run(0, 60, 1000);
+	do {
+		struct fl_sched_in in = {.params = &fl_sched_defaults, .jobs = w.jobs,
+					 .n_jobs = w.n_jobs, .machines = w.machines,
+					 .n_machines = 1, .runs = w.runs, .n_runs = 1,
+					 .teams = w.teams, .n_teams = T, .n_zones = Z,
+					 .resume = resume, .out_of_time = spent};
+		struct fl_sched_out out;
+
+		allowance = 3;
+		assert_int_equal(fl_schedule(&in, &out), 0);
+		for (int i = 0; i < out.n_starts; i++)
+			started[out.starts[i].job] = true;
+		resume = out.resume;
+		fl_sched_free(&out);
+		passes++;
+	} while (resume != 0 && passes < 20);
+	assert_true(passes > 2 && passes < 20);
+	for (int i = 1; i < w.n_jobs; i++)
+		assert_true(started[i]);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(the_pass_decides_like_the_plain_model),
+		cmocka_unit_test(scattered_room_is_no_room),
+		cmocka_unit_test(a_burst_cannot_push_the_top_job_back_for_ever),
+		cmocka_unit_test(an_ensemble_starts_whole_or_not_at_all),
+		cmocka_unit_test(room_on_its_way_is_not_claimed_twice),
+		cmocka_unit_test(a_pass_goes_on_where_the_last_one_stopped),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_service.c
@@ -0,0 +1,276 @@
+/*
+ * The service as three real processes on loopback against the stand-ins: a job and a service are
+ * submitted, the leader is killed in the middle, answers of the state service get lost, commands
+ * are carried out twice; nothing runs twice and everything comes to its end.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <errno.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "standins.h"
+#include "transport/clock.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/routine.h"
+
+enum { NODES = 3, PATIENCE_S = 90 };
+
+static struct {
+	int port[NODES], peer_port[NODES];
+	pid_t pid[NODES];
+	char file[NODES][64];
+	struct fl_http_client client[NODES];
+	const char *failed;
+	bool over;
+} run;
+
+static int free_port(void)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&sa, &len), 0);
+	close(fd);
+	return ntohs(sa.sin_port);
+}
+
+static void write_settings(int node)
+{
+	FILE *f;
+
+	snprintf(run.file[node], sizeof(run.file[node]), "service-%d-%d.toml", (int)getpid(), node);
+	f = fopen(run.file[node], "w");
+	assert_non_null(f);
+	fprintf(f,
+		"node = \"n%d\"\nlocation = \"a\"\nbind = \"127.0.0.1:%d\"\n"
+		"cluster_listen = \"127.0.0.1:%d\"\n",
+		node, run.port[node], run.peer_port[node]);
+	for (int i = 0; i < NODES; i++)
+		if (i != node)
+			fprintf(f,
+				"[[known]]\nnode = \"n%d\"\nlocation = \"a\"\n"
+				"addr = \"127.0.0.1:%d\"\n",
+				i, run.peer_port[i]);
+	fprintf(f,
+		"[external]\ncloud = \"%s\"\nstate = \"%s\"\n"
+		"[settings]\ninitial_size = 3\nzones = [\"a\"]\nclock_off_ms = 5.0\n"
+		"[[settings.teams]]\nname = \"t\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\n"
+		"gpus_max = 0.0\n"
+		"[settings.workers]\nreport_s = 0.25\nlease_s = 8.0\ncancel_s = 30.0\n"
+		"[settings.state]\nrps = 500.0\nwrite_rps = 200.0\nvalue_kb = 4.0\ntxn_ops = 8\n"
+		"[settings.cloud]\nrps = 50.0\nlist_lag_s = 0.5\n"
+		"[settings.resources]\ncore_share = 1.0\nram_mb = 256.0\nmax_connections = 400\n",
+		standins.cloud_addr, standins.state_addr);
+	fclose(f);
+}
+
+static void start_node(int node)
+{
+	char *argv[] = {(char *)FL_PROGRAM, (char *)"--config", run.file[node], NULL};
+	char *env[] = {(char *)"LOG_LEVEL=error", NULL};
+
+	assert_int_equal(posix_spawn(&run.pid[node], FL_PROGRAM, NULL, NULL, argv, env), 0);
+}
+
+/* Asks a living node; the status, with the body in `text`. */
+static int ask(int first, const char *method, const char *path, const char *body, char *text,
+	       size_t cap)
+{
+	for (int i = 0; i < NODES; i++) {
+		int node = (first + i) % NODES;
+		struct fl_reply reply;
+
+		if (!run.pid[node] ||
+		    fl_http_call(&run.client[node], method, path, body, 5.0, &reply) != 0)
+			continue;
+		snprintf(text, cap, "%s", reply.body.data);
+		fl_buf_free(&reply.body);
+		return reply.status;
+	}
+	return -1;
+}
+
+static bool until_status(const char *ref, const char *want, int first)
+{
+	char path[64], text[512];
+	double until = fl_now() + PATIENCE_S;
+
+	snprintf(path, sizeof(path), "/v2/runs/%s", ref);
+	while (fl_now() < until) {
+		if (ask(first++, "GET", path, NULL, text, sizeof(text)) == 200 && strstr(text, want))
+			return true;
+		fl_sleep(0.1);
+	}
+	return false;
+}
+
+static bool submit(const char *ref, const char *kind, int parts, int first)
+{
+	char body[700], text[512];
+	double until = fl_now() + PATIENCE_S;
+
+	snprintf(body, sizeof(body),
+		 "{\"Ref\":\"%s\",\"JobClass\":\"c\",\"Owner\":\"t\",\"JobKind\":\"%s\","
+		 "\"Tier\":\"standard\",\"Parts\":%d,\"Vcpus\":1,\"Accelerators\":0,\"RamGb\":1,"
+		 "\"Bundle\":\"img\",\"ImageGb\":1,\"Together\":false,\"Apart\":false,"
+		 "\"Reclaimable\":true,\"ExpectedS\":1,\"SnapshotEveryS\":0,\"SnapshotCostS\":0}",
+		 ref, kind, parts);
+	while (fl_now() < until) {
+		int status = ask(first++, "POST", "/v2/runs", body, text, sizeof(text));
+
+		if (status == 201 || status == 200)
+			return true;
+		if (status == 400 || status == 422)
+			return false;
+		fl_sleep(0.2);
+	}
+	return false;
+}
+
+static bool cancel(const char *ref)
+{
+	char path[64], text[512];
+	double until = fl_now() + PATIENCE_S;
+
+	snprintf(path, sizeof(path), "/v2/runs/%s/cancel", ref);
+	for (int first = 0; fl_now() < until; first++) {
+		if (ask(first, "POST", path, "{}", text, sizeof(text)) == 200)
+			return strstr(text, "aborted") != NULL;
+		fl_sleep(0.2);
+	}
+	return false;
+}
+
+static void kill_leader(void)
+{
+	const char *leader = standins_leader();
+	int node = leader[0] ? leader[1] - '0' : 0;
+
+	kill(run.pid[node], SIGKILL);
+	waitpid(run.pid[node], NULL, 0);
+	run.pid[node] = 0;
+	fl_http_client_close(&run.client[node]);
+}
+
+#define EXPECT(what)                                                                               \
+	do {                                                                                       \
+		if (!(what)) {                                                                     \
+			run.failed = #what;                                                        \
+			goto out;                                                                  \
+		}                                                                                  \
+	} while (0)
+
+static void story(void *arg)
+{
+	char text[512];
+	double until = fl_now() + PATIENCE_S;
+	int dead = -1;
+
+	(void)arg;
+	while (ask(0, "GET", "/ready", NULL, text, sizeof(text)) != 200 && fl_now() < until)
+		fl_sleep(0.1);
+	EXPECT(ask(0, "GET", "/v2/runs/run-999999", NULL, text, sizeof(text)) == 404);
+	EXPECT(ask(0, "GET", "/nowhere", NULL, text, sizeof(text)) == 404);
+	EXPECT(ask(0, "DELETE", "/v2/runs", NULL, text, sizeof(text)) == 405);
+	EXPECT(ask(0, "POST", "/v2/runs", "[1", text, sizeof(text)) == 400);
+	EXPECT(submit("run-000001", "sweep", 6, 0));
+	EXPECT(submit("run-000001", "sweep", 6, 1)); /* again, elsewhere: the same job */
+	EXPECT(submit("run-000002", "standing", 2, 2));
+	EXPECT(until_status("run-000002", "\"running\":2", 1));
+	EXPECT(until_status("run-000001", "\"Status\":\"done\"", 0));
+
+	/* From here on the outside misbehaves, and the leader dies in the middle. */
+	standins.state_refuses = 13;
+	standins.state_slow = 7;
+	standins.state_loses = 29;
+	EXPECT(submit("run-000003", "sweep", 70, 0));
+	EXPECT(until_status("run-000003", "\"Status\":\"running\"", 0));
+	kill_leader();
+	for (int i = 0; i < NODES; i++)
+		if (!run.pid[i])
+			dead = i;
+	EXPECT(submit("run-000004", "ensemble", 3, 0));
+	EXPECT(until_status("run-000001", "\"Status\":\"done\"", 0));
+	start_node(dead);
+	EXPECT(until_status("run-000003", "\"Status\":\"done\"", 0));
+	EXPECT(until_status("run-000004", "\"Status\":\"done\"", 1));
+	EXPECT(standins_live("run-000002") == 2); /* the service ran through all of it */
+	EXPECT(cancel("run-000002"));
+	until = fl_now() + PATIENCE_S;
+	while (standins_live("run-000002") > 0 && fl_now() < until)
+		fl_sleep(0.1);
+	EXPECT(standins_live("run-000002") == 0);
+	EXPECT(until_status("run-000002", "aborted", 2));
+	EXPECT(standins.twice == 0);
+	/* Finished work is not done again: one completion a task, not counting the lost. */
+	EXPECT(standins.completed >= 6 + 70 + 3);
+out:
+	run.over = true;
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+static void the_service_survives_its_leader(void **state)
+{
+	(void)state;
+	signal(SIGPIPE, SIG_IGN);
+	fl_routines_init(ev_default_loop(0));
+	standins.report_s = 0.25;
+	standins.lease_s = 8;
+	standins.run_s = 0.5;
+	standins.commands_repeat = 3;
+	standins_start();
+	for (int i = 0; i < NODES; i++) {
+		char addr[32];
+
+		run.port[i] = free_port();
+		run.peer_port[i] = free_port();
+		standins.controller_ports[standins.n_controllers++] = run.port[i];
+		snprintf(addr, sizeof(addr), "127.0.0.1:%d", run.port[i]);
+		fl_http_client_init(&run.client[i], addr, 2);
+	}
+	for (int i = 0; i < NODES; i++) {
+		write_settings(i);
+		start_node(i);
+	}
+	fl_spawn(story, NULL);
+	fl_routines_run();
+	for (int i = 0; i < NODES; i++) {
+		if (run.pid[i]) {
+			kill(run.pid[i], SIGKILL);
+			waitpid(run.pid[i], NULL, 0);
+		}
+		unlink(run.file[i]);
+	}
+	/* What suspended routines hold is given back by their own cleanup. */
+	fl_routines_shutdown();
+	standins_free();
+	for (int i = 0; i < NODES; i++)
+		fl_http_client_close(&run.client[i]);
+	if (run.failed)
+		fail_msg("not so: %s", run.failed);
+	assert_true(run.over);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(the_service_survives_its_leader),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_transport.c
@@ -0,0 +1,249 @@
+/* Routines, HTTP and settings: what every other part stands on. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "bookkeeping/ledger.h"
+#include "config.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/routine.h"
+
+static struct {
+	struct fl_signal signal;
+	int woken, cancelled, cleaned;
+	char addr[32];
+	int status[4], served;
+	bool finished;
+} seen;
+
+static void waiter(void *arg)
+{
+	int rc = fl_signal_wait(&seen.signal, -1);
+
+	(void)arg;
+	if (rc == 0)
+		seen.woken++;
+	if (rc == -ECANCELED) {
+		seen.cancelled++;
+		/* Once cancelled, no wait waits any more: the routine unwinds. */
+		if (fl_sleep(1000) == -ECANCELED && fl_wait_io(0, EV_READ, -1) == -ECANCELED)
+			seen.cleaned++;
+	}
+}
+
+static void conductor(void *arg)
+{
+	struct fl_routine *victim;
+
+	(void)arg;
+	fl_spawn(waiter, NULL);
+	fl_spawn(waiter, NULL);
+	victim = fl_spawn(waiter, NULL);
+	fl_sleep(0);
+	fl_cancel(victim);
+	fl_sleep(0);
+	fl_signal_wake(&seen.signal);
+	fl_sleep(0);
+	assert_int_equal(fl_signal_wait(&seen.signal, 0.001), -ETIMEDOUT);
+	seen.finished = true;
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+static void a_cancelled_routine_unwinds_by_itself(void **state)
+{
+	(void)state;
+	memset(&seen, 0, sizeof(seen));
+	fl_routines_init(ev_default_loop(0));
+	fl_spawn(conductor, NULL);
+	fl_routines_run();
+	assert_true(seen.finished);
+	assert_int_equal(seen.woken, 2);
+	assert_int_equal(seen.cancelled, 1);
+	assert_int_equal(seen.cleaned, 1);
+	fl_routines_shutdown();
+}
+
+static void echo(void *ctx, const struct fl_request *req, struct fl_response *resp)
+{
+	(void)ctx;
+	seen.served++;
+	resp->status = 200;
+	resp->body = strdup(req->body);
+	if (strcmp(req->path, "/close") == 0)
+		resp->close = true;
+	if (strcmp(req->path, "/slow") == 0)
+		fl_sleep(5);
+}
+
+static void caller(void *arg)
+{
+	struct fl_http_client c;
+	struct fl_reply r;
+	char *big = malloc(70000);
+
+	(void)arg;
+	assert_int_equal(fl_http_client_init(&c, seen.addr, 2), 0);
+	for (int i = 0; i < 3; i++) {
+		assert_int_equal(fl_http_call(&c, "POST", i == 1 ? "/close" : "/x", "{\"a\":1}", 5,
+					      &r),
+				 0);
+		assert_int_equal(r.status, 200);
+		assert_string_equal(r.body.data, "{\"a\":1}");
+		fl_buf_free(&r.body);
+	}
+	/* A kept connection that the other side has closed must not fail the next call. */
+	assert_int_equal(c.idles, 1);
+	shutdown(c.idle[0], SHUT_RDWR);
+	assert_int_equal(fl_http_call(&c, "POST", "/x", "{}", 5, &r), 0);
+	assert_int_equal(r.status, 200);
+	fl_buf_free(&r.body);
+	memset(big, 'x', 69999);
+	big[69999] = 0;
+	assert_int_equal(fl_http_call(&c, "POST", "/x", big, 5, &r), 0);
+	assert_int_equal(r.status, 413);
+	fl_buf_free(&r.body);
+	assert_int_equal(fl_http_call(&c, "POST", "/slow", "{}", 0.05, &r), -ETIMEDOUT);
+	free(big);
+	fl_http_client_close(&c);
+	seen.finished = true;
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+static void calls_are_answered_kept_alive_and_bounded(void **state)
+{
+	struct fl_http_server *s;
+
+	(void)state;
+	memset(&seen, 0, sizeof(seen));
+	fl_routines_init(ev_default_loop(0));
+	s = fl_http_serve("127.0.0.1:0", 16, echo, NULL);
+	assert_non_null(s);
+	snprintf(seen.addr, sizeof(seen.addr), "127.0.0.1:%d", fl_http_server_port(s));
+	fl_spawn(caller, NULL);
+	fl_routines_run();
+	assert_true(seen.finished);
+	assert_int_equal(seen.served, 5);
+	fl_routines_shutdown();
+	free(s);
+}
+
+static void addresses_are_checked(void **state)
+{
+	struct sockaddr_in sa;
+
+	(void)state;
+	assert_int_equal(fl_parse_addr("10.0.0.1:8080", &sa), 0);
+	assert_int_not_equal(fl_parse_addr("host:8080", &sa), 0);
+	assert_int_not_equal(fl_parse_addr("10.0.0.1", &sa), 0);
+	assert_int_not_equal(fl_parse_addr("10.0.0.1:99999", &sa), 0);
+	assert_int_not_equal(fl_parse_addr("10.0.0.1:", &sa), 0);
+}
+
+static const char good_settings[] =
+	"node = \"n0\"\nlocation = \"a\"\nbind = \"127.0.0.1:1\"\n"
+	"cluster_listen = \"127.0.0.1:2\"\nextra = 3\n"
+	"[external]\ncloud = \"127.0.0.1:3\"\nstate = \"127.0.0.1:4\"\n"
+	"[settings]\nzones = [\"a\"]\n"
+	"[settings.workers]\nreport_s = 2\nlease_s = 14.0\ncancel_s = 44.0\n"
+	"[settings.state]\nrps = 70.0\nwrite_rps = 25.0\nvalue_kb = 8.0\ntxn_ops = 20\n"
+	"[settings.cloud]\nrps = 3.0\nlist_lag_s = 10.0\n"
+	"[settings.resources]\ncore_share = 0.12\nram_mb = 72.0\nmax_connections = 1500\n";
+
+/* Reads the settings with one piece of text replaced. */
+static int read_with(const char *old, const char *new, char *error, size_t cap)
+{
+	struct fl_config *c = calloc(1, sizeof(*c));
+	const char *at = old ? strstr(good_settings, old) : NULL;
+	char name[64];
+	FILE *f;
+	int rc;
+
+	snprintf(name, sizeof(name), "settings-%d.toml", (int)getpid());
+	f = fopen(name, "w");
+	assert_non_null(f);
+	assert_true(!old || at);
+	if (at)
+		fprintf(f, "%.*s%s%s", (int)(at - good_settings), good_settings, new,
+			at + strlen(old));
+	else
+		fputs(good_settings, f);
+	fclose(f);
+	error[0] = 0;
+	rc = fl_config_read(name, c, error, cap);
+	unlink(name);
+	free(c);
+	return rc;
+}
+
+static void bad_settings_are_named(void **state)
+{
+	static const struct {
+		const char *old, *new, *named;
+	} bad[] = {
+		{"node = \"n0\"\n", "", "node: missing"},
+		{"\"n0\"", "7", "node: must be a string"},
+		{"\"127.0.0.1:1\"", "\"nowhere\"", "bind: must be an IPv4 address"},
+		{"lease_s = 14.0", "lease_s = \"x\"", "settings.workers.lease_s: must be a number"},
+		{"lease_s = 14.0", "lease_s = -1", "settings.workers.lease_s: must lie"},
+		{"txn_ops = 20", "txn_ops = 2.5", "settings.state.txn_ops: must be a whole"},
+		{"[settings.cloud]", "[settings.clouds]", "settings.cloud: missing"},
+		{"zones = [\"a\"]", "zones = []", "settings.zones: must name"},
+		{"[external]", "[external", "line 6"},
+	};
+	char error[512];
+
+	(void)state;
+	assert_int_equal(read_with(NULL, NULL, error, sizeof(error)), 0);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		assert_int_not_equal(read_with(bad[i].old, bad[i].new, error, sizeof(error)), 0);
+		if (!strstr(error, bad[i].named))
+			fail_msg("'%s' does not say '%s'", error, bad[i].named);
+	}
+	{
+		struct fl_config *c = calloc(1, sizeof(*c));
+
+		assert_int_not_equal(fl_config_read("no/such/file", c, error, sizeof(error)), 0);
+		assert_non_null(strstr(error, "no/such/file"));
+		free(c);
+	}
+}
+
+static void the_write_budget_holds_its_rate(void **state)
+{
+	struct fl_budget b;
+	double now = 0, spent = 0;
+
+	(void)state;
+	fl_budget_init(&b, 10, 10, now);
+	while (now < 60) {
+		double wait = fl_budget_take(&b, 3, now);
+
+		if (wait == 0)
+			spent += 3;
+		now += wait > 0 ? wait : 0;
+	}
+	assert_true(spent <= 10 + 600 + 3 && spent > 590);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_cancelled_routine_unwinds_by_itself),
+		cmocka_unit_test(calls_are_answered_kept_alive_and_bounded),
+		cmocka_unit_test(addresses_are_checked),
+		cmocka_unit_test(bad_settings_are_named),
+		cmocka_unit_test(the_write_budget_holds_its_rate),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
