--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -7,7 +7,7 @@
 const struct fl_sched_params fl_sched_defaults = {
 	.alpha = 1, /* a job rises as it waits */
 	.beta = -1, /* short ones first */
-	.gamma = 1, /* wide ones first: they are hard to fit */
+	.gamma = -0.5, /* narrow ones first: users count jobs, and wide ones hold many back */
 	.r = 10,    /* one tier is worth ten times the wait */
 	.omega = 4, /* the finite value that did best in the paper's tables */
 	.default_est_s = 3600,
