--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -112,14 +112,12 @@
 	return fmax(est, choice.pass_most_s);
 }
 
-static void snap_run(struct fl_node *n, struct snapshot *s, struct fl_machine *m, int at,
-		     const struct fl_slot *slot, double now)
+static void snap_run(struct snapshot *s, int at, const struct fl_slot *slot, double now)
 {
 	struct fl_sched_run *r = &s->in.runs[s->in.n_runs];
 	struct fl_job *job = slot->job;
 	const struct fl_task *t = fl_task_peek(job, slot->index);
 
-	(void)n, (void)m;
 	memset(r, 0, sizeof(*r));
 	r->machine = at;
 	r->team = job->owner;
@@ -210,11 +208,18 @@
 			continue;
 		k = &b->machines.kinds[m->kind];
 		sm = &s->in.machines[s->in.n_machines];
-		*sm = (struct fl_sched_machine){m->kind, m->zone, m->spot, k->cpus - m->used_cpus,
-						k->gpus - m->used_gpus, k->ram_gb - m->used_ram,
-						k->pull_gb_s, m->cache};
-		for (int k2 = 0; k2 < m->n_slots; k2++)
-			snap_run(n, s, m, s->in.n_machines, &m->slots[k2], now);
+		*sm = (struct fl_sched_machine){.kind = m->kind,
+						.zone = m->zone,
+						.spot = m->spot,
+						.cpus = k->cpus - m->used_cpus,
+						.gpus = k->gpus - m->used_gpus,
+						.ram_gb = k->ram_gb - m->used_ram,
+						.pull_gb_s = k->pull_gb_s,
+						.cache = m->cache};
+		for (int k2 = 0; k2 < m->n_slots; k2++) {
+			snap_run(s, s->in.n_machines, &m->slots[k2], now);
+			sm->held = sm->held || m->slots[k2].job->kind == FL_STANDING;
+		}
 		s->machines[s->in.n_machines++] = m;
 	}
 	s->in.resume = n->lead.resume;
--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -16,10 +16,11 @@
 static const struct {
 	double eps;         /* amounts are sums of decimal fractions */
 	double zone_weight; /* s per replica already in the zone: spreading beats a fetch */
-	double odd_weight;  /* s; ordinary machine for a job that may use a cheap one */
+	double hold_weight; /* s; a machine that no service holds: empty, it could be returned */
+	double odd_weight;  /* s; such a machine, and dear, for a job that may use a cheap one */
 	double pack_weight; /* s per free accelerator left: fill machines, so that others empty */
 	double min_wait_s;  /* s; so that jobs just submitted are ordered by the other factors */
-} choice = {1e-6, 1000, 8, 1, 0.1};
+} choice = {1e-6, 1000, 8, 8, 1, 0.1};
 
 struct pass {
 	struct fl_sched_in *in;
@@ -114,8 +115,8 @@
 		cached = m->cache[i] == j->bundle;
 	if (!cached)
 		s += j->image_gb / (m->pull_gb_s > 0 ? m->pull_gb_s : 1);
-	if (j->reclaimable && !m->spot)
-		s += choice.odd_weight;
+	if (!m->held)
+		s += choice.hold_weight + (j->reclaimable && !m->spot ? choice.odd_weight : 0);
 	if (j->apart)
 		s += choice.zone_weight * j->zone_placed[m->zone];
 	return s;
--- a/src/coordination/schedule.h
+++ b/src/coordination/schedule.h
@@ -39,6 +39,7 @@
 struct fl_sched_machine {
 	int kind, zone;
 	bool spot;
+	bool held; /* a service runs here, so that it stays up in any case */
 	double cpus, gpus, ram_gb; /* free */
 	double pull_gb_s;
 	const int *cache; /* FL_CACHE_NOTE bundles */
--- a/tests/test_schedule.c
+++ b/tests/test_schedule.c
@@ -94,8 +94,8 @@
 		at++;
 	if (at == FL_CACHE_NOTE)
 		s += j->image_gb / m->pull_gb_s;
-	if (j->reclaimable && !m->spot)
-		s += 8;
+	if (!m->held)
+		s += j->reclaimable && !m->spot ? 16 : 8;
 	if (j->apart)
 		s += 1000.0 * j->zone_placed[m->zone];
 	return s;
@@ -411,9 +411,15 @@
 	for (int i = 0; i < w->n_machines; i++) {
 		for (int c = 0; c < FL_CACHE_NOTE; c++)
 			w->cache[i][c] = c < 2 ? (int)pick(g, 5) : -1;
-		w->machines[i] = (struct fl_sched_machine){(int)pick(g, 2), (int)pick(g, Z),
-							   pick(g, 2) > 0, 16, 4, 64, 0.5,
-							   w->cache[i]};
+		w->machines[i] = (struct fl_sched_machine){.kind = (int)pick(g, 2),
+							   .zone = (int)pick(g, Z),
+							   .spot = pick(g, 2) > 0,
+							   .held = pick(g, 2) > 0,
+							   .cpus = 16,
+							   .gpus = 4,
+							   .ram_gb = 64,
+							   .pull_gb_s = 0.5,
+							   .cache = w->cache[i]};
 	}
 	for (int i = 0; i < R; i++) {
 		struct fl_sched_run r = {0};
