--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -361,8 +361,10 @@
 	for (int i = 0; i < got; i++) {
 		struct fl_machine *m = fl_machine_get(&n->books.machines, hosts[i], fl_now());
 
-		if (m)
-			fl_books_describe(&n->books, m, w->kind, w->zone, w->spot, NULL);
+		if (!m)
+			continue;
+		fl_books_describe(&n->books, m, w->kind, w->zone, w->spot, NULL);
+		fl_debug("cloud", "%s is %s", m->name, w->spot ? "reclaimable" : "ordinary");
 	}
 	free(hosts);
 	if (rc == 0)
