--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -20,9 +20,9 @@
 	double digest_s;    /* s between two digests in the state service */
 	double margin_s;    /* s off the keeping time, for drift and late timers */
 	double home_s;      /* s that a worker's own zone's node must have been up */
-	double home_gap_s;  /* s between two times that one worker is sent home */
+	double home_leases; /* leases between two times that one worker is sent home */
 	double record_use;  /* share of a value's limit that a digest fills */
-} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 2.0, 1.0, 4.0, 60.0, 0.85};
+} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 2.0, 1.0, 1.0, 1.5, 0.85};
 
 static struct fl_peer *find_peer(struct fl_node *n, const char *name)
 {
@@ -156,13 +156,13 @@
 		answer_kept(n, r, body, resp);
 }
 
-/* One worker is sent home once in a long while: after that it is served where it is. */
+/* One worker is sent home once in more than a lease: after that it is served where it is. */
 static bool sent_lately(struct fl_node *n, const char *host)
 {
 	struct fl_sent_home *s;
 
 	HASH_FIND_STR(n->keeper.sent_home, host, s);
-	if (s && fl_now() < s->at + choice.home_gap_s)
+	if (s && fl_now() < s->at + choice.home_leases * n->config->lease_s)
 		return true;
 	if (!s) {
 		s = calloc(1, sizeof(*s));
