--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -122,10 +122,32 @@
 	return 0;
 }
 
+/* No answer since the last refusal or silence. */
+static bool state_in_doubt(const struct fl_node *n)
+{
+	return n->state.last_refusal > n->state.last_ok;
+}
+
 static bool state_is_down(const struct fl_node *n)
 {
-	return n->state.last_refusal > n->state.last_ok &&
-	       fl_now() - n->state.last_refusal < choice.down_s;
+	return state_in_doubt(n) && fl_now() - n->state.last_refusal < choice.down_s;
+}
+
+/* The state service may refuse this node alone, or be cut from it: the leader has it. */
+static bool submit_by_leader(struct fl_node *n, const char *body, struct fl_response *resp)
+{
+	struct fl_reply reply;
+
+	if (fl_lease_valid(n) ||
+	    fl_relay(n, FL_CALL_SUBMIT, NULL, body, false, choice.relay_write_s, &reply) != 0)
+		return false;
+	if (reply.status == 200 || reply.status == 201) {
+		resp->status = reply.status;
+		resp->body = reply.body.data;
+		return true;
+	}
+	fl_buf_free(&reply.body);
+	return false;
 }
 
 static void submit(struct fl_node *n, const char *body, size_t len, bool last_hop,
@@ -134,7 +156,7 @@
 	cJSON *o = fl_json_parse(body, len);
 	const char *bad, *why;
 	struct fl_run run;
-	struct fl_reply reply;
+	bool relayed_first;
 	int rc;
 
 	if (!cJSON_IsObject(o)) {
@@ -169,6 +191,10 @@
 			fl_later(resp, "cannot decide yet");
 		return;
 	}
+	/* A cut is silent: to try here first would cost the user a second. */
+	relayed_first = !last_hop && state_in_doubt(n);
+	if (relayed_first && submit_by_leader(n, body, resp))
+		return;
 	rc = state_is_down(n) ? -EAGAIN : store_job(n, &run);
 	if (rc == 0) {
 		fl_info("jobs", "%s accepted: %s of %s, %u x %g cpus %g gpus", run.ref,
@@ -179,16 +205,8 @@
 	}
 	if (rc == -ESTALE && answer_known(n, run.ref, last_hop, resp) == 1)
 		return;
-	/* The state service may refuse this node alone: the leader, if another, has it. */
-	if (rc != -ESTALE && !last_hop && !fl_lease_valid(n) &&
-	    fl_relay(n, FL_CALL_SUBMIT, NULL, body, false, choice.relay_write_s, &reply) == 0) {
-		if (reply.status == 200 || reply.status == 201) {
-			resp->status = reply.status;
-			resp->body = reply.body.data;
-			return;
-		}
-		fl_buf_free(&reply.body);
-	}
+	if (rc != -ESTALE && !last_hop && !relayed_first && submit_by_leader(n, body, resp))
+		return;
 	fl_later(resp, "the job could not be stored");
 }
 
