--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -56,7 +56,7 @@
 
 	if (!lead)
 		return rc;
-	if (lead->up || last_hop || n->n_peers == 1) {
+	if (lead->up || n->n_peers == 1) {
 		text = fl_relay_encode(call, true, ref, body);
 		rc = relay_via(lead, text, last_hop ? patience_s : choice.direct_s, out);
 		free(text);
@@ -150,10 +150,13 @@
 		}
 		fl_buf_free(&reply.body);
 	}
-	if (last_hop)
-		resp->status = 421;
-	else
+	if (!last_hop) {
 		answer_kept(n, r, body, resp);
+		return;
+	}
+	/* The sender may be cut from the state service too: its report goes with our digest. */
+	keep(n, r, body);
+	resp->status = 421;
 }
 
 /* One worker is sent home once in more than a lease: after that it is served where it is. */
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -15,7 +15,7 @@
 struct fl_leadership {
 	bool active; /* duties run, books are loaded */
 	uint64_t first_epoch; /* the epoch of the takeover; raised ones lie above it */
-	double since;
+	double since; /* steady; since when machines could be heard without a break */
 	int running; /* routines that use the leader's books */
 	struct fl_routine *duty[FL_DUTIES_MAX];
 	int n_duties;
--- a/src/coordination/lease.c
+++ b/src/coordination/lease.c
@@ -164,6 +164,9 @@
 	if (!l->held || l->grant != grant)
 		return 0;
 	if (rc == 0) {
+		/* While the lease was in doubt no digest could come: silence counts from now. */
+		if (fl_now() > l->valid_until)
+			n->lead.since = fl_now();
 		l->valid_until = sent + choice.ttl_s * (1 - choice.drift) - choice.margin_s;
 		if (sent > n->proof_at)
 			n->proof_at = sent;
