--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -50,7 +50,6 @@
 	int n_slots, cap_slots;
 	double used_cpus, used_gpus, used_ram;
 	int cache[FL_CACHE_NOTE]; /* bundles lately here, newest first; -1: none */
-	double speed;       /* running mean of finished time to estimate; 0: unknown */
 };
 
 struct fl_machines {
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -292,7 +292,9 @@
 	apply(n, &s, &out, now);
 	fl_provision_shortage(n, s.jobs, out.short_of, s.in.n_jobs);
 	n->lead.passes++;
-	n->lead.last_pass_s = fl_now() - now;
+	fl_debug("schedule", "pass %llu: %d jobs, %d machines, %d starts, %d stops, %.1f ms%s",
+		 (unsigned long long)n->lead.passes, s.in.n_jobs, s.in.n_machines, out.n_starts,
+		 out.n_stops, (fl_now() - now) * 1000, out.resume ? ", to be continued" : "");
 	if (n->books.dirty)
 		fl_signal_wake(&n->lead.dirty);
 out:
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -29,7 +29,6 @@
 	int pushes;
 	int unforgotten; /* finished entries that only a higher epoch lets go */
 	uint64_t passes;
-	double last_pass_s; /* how long the last pass took */
 };
 
 /* A progress record that nothing needs any more. */
--- a/src/coordination/reconcile.c
+++ b/src/coordination/reconcile.c
@@ -79,11 +79,6 @@
 
 	switch (p->exit) {
 	case FL_EXIT_DONE:
-		if (t->sight == FL_SEEN_RUNNING && job->expected_s > 0) {
-			double ratio = (now - t->since) / job->expected_s;
-
-			m->speed = m->speed > 0 ? 0.8 * m->speed + 0.2 * ratio : ratio;
-		}
 		fl_debug("workers", "%s/%u done on %s after %.1f s of %.1f", job->ref, index,
 			 m->name, now - t->since, job->expected_s);
 		job->strikes = 0;
--- a/src/protocol/state.h
+++ b/src/protocol/state.h
@@ -17,7 +17,6 @@
 	struct fl_http_client watch; /* one open watch, on a connection of its own */
 	double last_ok;              /* steady time of the sending of the last answered request */
 	double last_refusal;         /* of the last 503 or silence */
-	bool watching;
 };
 
 struct fl_multi {
