--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -133,6 +133,9 @@
 		resp->body = fl_orders_take(&orders);
 		keep(n, r, body);
 	} else {
+		fl_debug("keeper", "%s is refused: epoch %llu, known %llu, proof %.1f s old", r->host,
+			 (unsigned long long)r->epoch, (unsigned long long)n->epoch,
+			 fl_now() - n->proof_at);
 		fl_refuse(resp, 503, "no proof of the epoch");
 	}
 }
@@ -224,6 +227,7 @@
 	}
 	home = last_hop ? NULL : home_of(n, &r);
 	if (home) {
+		fl_debug("keeper", "%s is sent home to %s", r.host, home->name);
 		resp->status = 421;
 		resp->body = fl_steward_encode(home->name);
 	} else if (fl_lease_valid(n) && n->lead.active) {
