--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -29,7 +29,7 @@
 	double reserve_sd;   /* spreads of the arrivals expected while a machine boots, on top */
 	int machines_most;   /* rented in one round */
 	int tries;           /* of one rental that goes unanswered */
-} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 2.0, 0.4, 3.0, 0.7, 300.0, 2.0, 40, 3};
+} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.5, 0.4, 3.0, 0.7, 300.0, 2.0, 40, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
 struct virtual {
