Final states have records of their own, so that a takeover reads what is live

The live record now gives way to f/<ref> in one transaction; a leader ignores late words of what its first list no longer held; final states in memory are bounded.

--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -32,6 +32,12 @@
 	f->status = (uint8_t)status;
 	f->parts = parts;
 	HASH_ADD_STR(b->finals, ref, f);
+	if (b->finals_most > 0 && HASH_COUNT(b->finals) > b->finals_most) {
+		struct fl_final *oldest = b->finals;
+
+		HASH_DEL(b->finals, oldest);
+		free(oldest);
+	}
 }
 
 static uint32_t kinds_mask(const struct fl_books *b, const struct fl_run *run)
@@ -107,15 +113,20 @@
 	job->queued_dirty = false;
 }
 
-void fl_job_finalise(struct fl_books *b, struct fl_job *job, enum fl_status status)
+void fl_job_drop(struct fl_books *b, struct fl_job *job)
 {
-	fl_final_add(b, job->ref, status, job->parts);
 	unlink_dirty(b, job);
 	HASH_DEL(b->jobs, job);
 	free_chunks(job);
 	free(job);
 }
 
+void fl_job_finalise(struct fl_books *b, struct fl_job *job, enum fl_status status)
+{
+	fl_final_add(b, job->ref, status, job->parts);
+	fl_job_drop(b, job);
+}
+
 struct fl_chunk *fl_job_chunk(const struct fl_job *job, uint32_t chunk)
 {
 	return job->chunks ? job->chunks[chunk] : NULL;
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -61,11 +61,12 @@
 	double not_before;  /* job-wide backoff after faults on several machines */
 	uint32_t strikes;   /* error exits in a row, on any machine */
 	double window_until; /* steady; backfill window while this job is the top one; 0: not set */
+	bool listed; /* was in the list of job records being read */
 	bool queued_dirty;
 	struct fl_job *next_dirty;
 };
 
-/* What is kept for ever of a job that is over. */
+/* What is kept at hand of a job that is over; its record is kept for ever. */
 struct fl_final {
 	UT_hash_handle hh;
 	char ref[FL_REF_MAX];
@@ -78,8 +79,10 @@
 	struct fl_teams teams;
 	struct fl_machines machines;
 	struct fl_job *jobs;     /* live, by ref */
-	struct fl_final *finals; /* by ref */
+	struct fl_final *finals; /* by ref, oldest first */
+	unsigned finals_most;    /* the oldest beyond it are left to the records; 0: no limit */
 	struct fl_job *dirty;    /* jobs with unsaved chunks */
+	uint64_t list_rev;       /* of the list that the leadership began with */
 	bool leading;            /* tasks and machines are held here, not only descriptions */
 };
 
@@ -90,6 +93,8 @@
 			  uint64_t rev);
 /* Turns a live job into its final state; its tasks must hold no machine. */
 void fl_job_finalise(struct fl_books *b, struct fl_job *job, enum fl_status status);
+/* Forgets a live job; its tasks must hold no machine. */
+void fl_job_drop(struct fl_books *b, struct fl_job *job);
 void fl_final_add(struct fl_books *b, const char *ref, enum fl_status status, uint32_t parts);
 
 /*
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -10,6 +10,11 @@
 	snprintf(key, FL_KEY_MAX, FL_PREFIX_JOBS "%s", ref);
 }
 
+void fl_key_final(char key[FL_KEY_MAX], const char *ref)
+{
+	snprintf(key, FL_KEY_MAX, FL_PREFIX_FINALS "%s", ref);
+}
+
 void fl_key_chunk(char key[FL_KEY_MAX], const char *ref, uint32_t chunk)
 {
 	snprintf(key, FL_KEY_MAX, FL_PREFIX_PROGRESS "%s/%u", ref, chunk);
@@ -102,19 +107,71 @@
 	return fl_json_amount(v, "submitted", &out->submitted) == FL_FIELD_OK ? 0 : -EPROTO;
 }
 
+int fl_ledger_read(struct fl_state *s, const char *ref, struct fl_job_record *rec, cJSON **v,
+		   uint64_t *rev)
+{
+	char key[FL_KEY_MAX];
+	cJSON *final = NULL;
+	int rc;
+
+	fl_key_job(key, ref);
+	rc = fl_state_get(s, key, v, rev, NULL);
+	if (rc != -ENOENT)
+		return rc ? rc : fl_job_record_decode(*v, rec);
+	fl_key_final(key, ref);
+	rc = fl_state_get(s, key, &final, rev, NULL);
+	if (!rc)
+		rc = fl_job_record_decode(final, rec);
+	cJSON_Delete(final);
+	return rc;
+}
+
+void fl_books_list_begin(struct fl_books *b)
+{
+	struct fl_job *job, *tmp;
+
+	HASH_ITER(hh, b->jobs, job, tmp)
+		job->listed = false;
+}
+
+void fl_books_list_end(struct fl_books *b, uint64_t rev)
+{
+	struct fl_job *job, *tmp;
+
+	/* One that was stored after the list was made is not in it and not over. */
+	HASH_ITER(hh, b->jobs, job, tmp)
+		if (!job->listed && job->rev <= rev && job->n_placed == 0)
+			fl_job_drop(b, job);
+}
+
 struct fl_job *fl_books_apply(struct fl_books *b, const char *ref, const cJSON *value, uint64_t rev)
 {
 	struct fl_job *job = fl_job_find(b, ref);
 	struct fl_job_record rec;
 
-	if (fl_final_find(b, ref))
+	if (job)
+		job->listed = true;
+	if (job && !value && !b->leading && rev > job->rev)
+		fl_job_drop(b, job);
+	if (!value || fl_final_find(b, ref))
+		return NULL;
+	/*
+	 * A watch may lag behind the list that a leader began with: what the list no longer held is
+	 * over, and a late word of its submission must not bring it back to life.
+	 */
+	if (!job && b->leading && rev <= b->list_rev)
 		return NULL;
 	if (job && rev <= job->rev)
 		return job;
-	if (!value || fl_job_record_decode(value, &rec) != 0)
+	if (fl_job_record_decode(value, &rec) != 0)
 		return NULL;
-	if (!rec.final)
-		return job ? job : fl_job_add(b, &rec.run, rec.submitted, rev);
+	if (!rec.final) {
+		if (!job)
+			job = fl_job_add(b, &rec.run, rec.submitted, rev);
+		if (job)
+			job->listed = true;
+		return job;
+	}
 	/* A leader meets its own final writes again here; it finalises when the tasks are gone. */
 	if (job && b->leading)
 		return job;
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -9,10 +9,12 @@
 #define FL_KEY_EPOCH "c/epoch"
 #define FL_PREFIX_CONTROL "c/"
 #define FL_PREFIX_JOBS "j/"
+#define FL_PREFIX_FINALS "f/"
 #define FL_PREFIX_PROGRESS "p/"
 #define FL_PREFIX_KEPT "k/"
 
 void fl_key_job(char key[FL_KEY_MAX], const char *ref);
+void fl_key_final(char key[FL_KEY_MAX], const char *ref);
 void fl_key_chunk(char key[FL_KEY_MAX], const char *ref, uint32_t chunk);
 /* "p/run-000412/3" taken apart. */
 int fl_key_chunk_parse(const char *key, char ref[FL_REF_MAX], uint32_t *chunk);
@@ -27,15 +29,30 @@
 	double submitted;
 };
 
+/*
+ * What the records say of a job: its live record, or the final one that took its place in one
+ * transaction, so that reading them in this order misses neither. `*v` is the live record's value,
+ * owned by the caller, or NULL. -ENOENT: no such job.
+ */
+int fl_ledger_read(struct fl_state *s, const char *ref, struct fl_job_record *rec, cJSON **v,
+		   uint64_t *rev);
+
 cJSON *fl_job_record_live(const struct fl_run *run, double submitted);
 cJSON *fl_job_record_final(enum fl_status status, uint32_t parts, const struct fl_run *run,
 			   double submitted);
 void fl_job_describe(const struct fl_books *b, const struct fl_job *job, struct fl_run *out);
 int fl_job_record_decode(const cJSON *v, struct fl_job_record *out);
-/* Takes a change of a job record into the books; returns the live job, if it is one. */
+/*
+ * Takes a change of a job record into the books; returns the live job, if it is one. A deletion
+ * (no value) means that the job is over: only a leader keeps it, to finish what it is doing.
+ */
 struct fl_job *fl_books_apply(struct fl_books *b, const char *ref, const cJSON *value,
 			      uint64_t rev);
 
+/* Around a whole list of job records: live jobs that it no longer holds are dropped. */
+void fl_books_list_begin(struct fl_books *b);
+void fl_books_list_end(struct fl_books *b, uint64_t rev);
+
 cJSON *fl_chunk_encode(const struct fl_books *b, const struct fl_job *job, uint32_t chunk);
 /* Reads a progress record into tasks and machines; machines not known yet are added. */
 int fl_chunk_restore(struct fl_books *b, struct fl_job *job, uint32_t chunk, const cJSON *v,
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -501,24 +501,26 @@
 	return 0;
 }
 
-/* By ref, not by pointer: the job may be gone when the answer comes. */
-static int reread_job(struct fl_node *n, const char *ref)
+/*
+ * A final write went unanswered: what do the records say? By ref, not by pointer: the job may be
+ * gone when the answer comes. Only the writing routine may let go of it, so if it turns out to be
+ * over it stays unsure, and `*over` is told.
+ */
+static int reread_job(struct fl_node *n, const char *ref, bool *over, enum fl_status *status)
 {
 	struct fl_job_record rec;
-	char key[FL_KEY_MAX];
 	struct fl_job *job;
 	uint64_t rev = 0;
-	cJSON *v;
-	int rc;
+	cJSON *v = NULL;
+	int rc = fl_ledger_read(&n->state, ref, &rec, &v, &rev);
 
-	fl_key_job(key, ref);
-	rc = fl_state_get(&n->state, key, &v, &rev, NULL);
+	*over = rc == 0 && v == NULL;
+	*status = rec.status;
 	job = n->lead.active ? fl_job_find(&n->books, ref) : NULL;
-	if (!rc && job) {
+	if (rc == 0 && v && job) {
 		job->rev = rev;
 		job->unsure = false;
-		if (fl_job_record_decode(v, &rec) == 0 && rec.final && rec.status == FL_ABORTED &&
-		    !job->aborted) {
+		if (rec.final && !job->aborted) {
 			fl_final_add(&n->books, ref, FL_ABORTED, job->parts);
 			stop_everywhere(n, job);
 		}
@@ -537,7 +539,7 @@
 	return 0;
 }
 
-static bool over(const struct fl_job *job)
+static bool is_over(const struct fl_job *job)
 {
 	return job->aborted ? job->n_placed == 0 : job->n_done == job->parts;
 }
@@ -545,21 +547,29 @@
 /* Writes the final state and removes the progress records, all at once if they are few. */
 static int finalise(struct fl_node *n, struct fl_job *job)
 {
-	enum fl_status status = job->aborted ? FL_ABORTED : FL_DONE;
+	enum fl_status status;
 	struct fl_multi m;
 	char key[FL_KEY_MAX], failed[FL_KEY_MAX];
 	uint64_t rev;
+	bool done = false;
 	int rc, left = 0;
 
-	if (job->unsure && (rc = reread_job(n, job->ref)) != 0)
+	if (job->unsure && (rc = reread_job(n, job->ref, &done, &status)) != 0)
 		return rc;
-	if (!over(job))
+	if (done) {
+		fl_info("jobs", "%s is %s", job->ref, fl_status_name(status));
+		fl_job_finalise(&n->books, job, status);
+		return 0;
+	}
+	if (!is_over(job))
 		return 0;
 	status = job->aborted ? FL_ABORTED : FL_DONE;
 	fl_multi_init(&m);
 	fl_multi_when(&m, FL_KEY_LEAD, n->lease.lead_rev);
 	fl_key_job(key, job->ref);
 	fl_multi_when(&m, key, job->rev);
+	fl_multi_delete(&m, key);
+	fl_key_final(key, job->ref);
 	fl_multi_put(&m, key, fl_job_record_final(status, job->parts, NULL, 0), 0);
 	for (uint32_t i = 0; i < job->n_chunks; i++) {
 		struct fl_chunk *c = fl_job_chunk(job, i);
@@ -688,7 +698,7 @@
 
 			dirty = c && c->gen > c->saved_gen;
 		}
-		if (dirty || over(job)) {
+		if (dirty || is_over(job)) {
 			at = &job->next_dirty;
 		} else {
 			*at = job->next_dirty;
@@ -759,7 +769,7 @@
 	push_placed(n);
 	for (job = n->books.dirty; job; job = next) {
 		next = job->next_dirty;
-		if (over(job))
+		if (is_over(job))
 			return finalise(n, job);
 	}
 	undirty(n);
@@ -920,6 +930,12 @@
 				      0);
 }
 
+static void say_aborted(struct fl_response *resp, const char *ref)
+{
+	resp->status = 200;
+	resp->body = fl_status_encode(ref, FL_ABORTED, -1, 0);
+}
+
 static void say_job(struct fl_response *resp, const struct fl_job *job)
 {
 	resp->status = 200;
@@ -930,17 +946,18 @@
 static void poll_record(struct fl_node *n, const char *ref, struct fl_response *resp)
 {
 	struct fl_job_record rec;
-	char key[FL_KEY_MAX];
 	struct fl_job *job;
 	uint64_t rev;
-	cJSON *v;
-	int rc;
+	cJSON *v = NULL;
+	int rc = fl_ledger_read(&n->state, ref, &rec, &v, &rev);
+	const struct fl_final *f = fl_final_find(&n->books, ref);
 
-	fl_key_job(key, ref);
-	rc = fl_state_get(&n->state, key, &v, &rev, NULL);
-	if (rc == -ENOENT) {
+	if (f) {
+		/* It came to its end while the record was on its way here. */
+		say_final(resp, f, true);
+	} else if (rc == -ENOENT) {
 		fl_refuse(resp, 404, "no such job");
-	} else if (rc != 0 || fl_job_record_decode(v, &rec) != 0) {
+	} else if (rc != 0) {
 		fl_later(resp, "the state service does not answer");
 	} else if (rec.final) {
 		resp->status = 200;
@@ -988,7 +1005,9 @@
 {
 	struct fl_final *f = fl_final_find(&n->books, ref);
 	struct fl_job *job = f ? NULL : fl_job_find(&n->books, ref);
+	enum fl_status status;
 	uint64_t rev;
+	bool done = false;
 	int rc;
 
 	if (!f && !job) {
@@ -1003,17 +1022,15 @@
 		say_final(resp, f, false);
 		return;
 	}
-	if (job->finishing || (job->unsure && reread_job(n, ref) != 0)) {
-		fl_later(resp, "the job's state is being written");
+	if (job->unsure && !job->finishing)
+		reread_job(n, ref, &done, &status);
+	job = leading(n) ? fl_job_find(&n->books, ref) : NULL;
+	if (job && job->aborted) {
+		say_aborted(resp, ref);
 		return;
 	}
-	job = leading(n) ? fl_job_find(&n->books, ref) : NULL;
-	if (!job || job->aborted || job->finishing || job->unsure) {
-		f = fl_final_find(&n->books, ref);
-		if (f)
-			say_final(resp, f, false);
-		else
-			fl_later(resp, "the job's state is being written");
+	if (!job || job->finishing || job->unsure) {
+		fl_later(resp, "the job's state is being written");
 		return;
 	}
 	/* Till this is answered, only the record knows: see fl_leader_poll. */
@@ -1029,11 +1046,14 @@
 	} else if (job && rc == -EAGAIN) {
 		job->unsure = false;
 	} else if (job) {
-		reread_job(n, ref);
+		reread_job(n, ref, &done, &status);
 	}
 	f = fl_final_find(&n->books, ref);
 	if (f)
 		say_final(resp, f, false);
+	else if (rc == 0)
+		/* Stored, though this node leads no more: the next leader stops its tasks. */
+		say_aborted(resp, ref);
 	else
 		fl_later(resp, "the cancellation could not be stored");
 }
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -18,8 +18,9 @@
 	int later_s;         /* s; Retry-After of a 503 */
 	double down_s;       /* s after a refusal in which the state service counts as down */
 	int peer_conns;      /* connections kept open to each peer */
+	double finals_share; /* share of the memory for final states kept at hand */
 	double user_share;   /* share of all connections that users and workers may hold */
-} choice = {0.5, 10.0, 1.2, 2.0, 1, 0.3, 6, 0.8};
+} choice = {0.5, 10.0, 1.2, 2.0, 1, 0.3, 6, 0.1, 0.8};
 
 void fl_refuse(struct fl_response *resp, int status, const char *fmt, ...)
 {
@@ -80,14 +81,13 @@
 static int answer_known(struct fl_node *n, const char *ref, bool last_hop,
 			struct fl_response *resp)
 {
-	char key[FL_KEY_MAX];
+	struct fl_job_record rec;
 	uint64_t rev;
-	cJSON *v;
+	cJSON *v = NULL;
 	int rc;
 
 	if (!fl_final_find(&n->books, ref) && !fl_job_find(&n->books, ref)) {
-		fl_key_job(key, ref);
-		rc = fl_state_get(&n->state, key, &v, &rev, NULL);
+		rc = fl_ledger_read(&n->state, ref, &rec, &v, &rev);
 		cJSON_Delete(v);
 		if (rc)
 			return rc == -ENOENT ? 0 : rc;
@@ -105,14 +105,17 @@
 	uint64_t rev;
 	int rc;
 
-	fl_key_job(key, run->ref);
 	fl_multi_init(&m);
+	fl_key_final(key, run->ref);
+	fl_multi_when(&m, key, 0);
+	fl_key_job(key, run->ref);
 	fl_multi_when(&m, key, 0);
 	fl_multi_put(&m, key, fl_job_record_live(run, submitted), 0);
 	rc = fl_state_multi(&n->state, &m, &rev, NULL);
 	if (rc)
 		return rc;
-	if (!fl_final_find(&n->books, run->ref) && !fl_job_find(&n->books, run->ref)) {
+	if (!fl_final_find(&n->books, run->ref) && !fl_job_find(&n->books, run->ref) &&
+	    !(n->books.leading && rev <= n->books.list_rev)) {
 		job = fl_job_add(&n->books, run, submitted, rev);
 		if (job && n->lead.active) {
 			n->lead.due = true;
@@ -212,9 +215,6 @@
 
 /* ---- polls and cancellations ---- */
 
-/* Without a leader in reach, the records themselves answer: never older than what was told. */
-static void poll_records(struct fl_node *n, const char *ref, struct fl_response *resp);
-
 struct progress {
 	uint32_t done, placed;
 };
@@ -226,19 +226,16 @@
 	fl_chunk_count(ch->value, &p->done, &p->placed);
 }
 
+/* Without a leader in reach, the records themselves answer: never older than what was told. */
 static void poll_records(struct fl_node *n, const char *ref, struct fl_response *resp)
 {
 	struct fl_job_record rec;
 	struct progress p = {0};
 	char key[FL_KEY_MAX];
 	uint64_t rev;
-	cJSON *v;
-	int rc;
+	cJSON *v = NULL;
+	int rc = fl_ledger_read(&n->state, ref, &rec, &v, &rev);
 
-	fl_key_job(key, ref);
-	rc = fl_state_get(&n->state, key, &v, &rev, NULL);
-	if (rc == 0)
-		rc = fl_job_record_decode(v, &rec);
 	cJSON_Delete(v);
 	if (rc == -ENOENT) {
 		fl_refuse(resp, 404, "no such job");
@@ -381,7 +378,7 @@
 	struct fl_node *n = ctx;
 	const char *ref = ch->key + strlen(FL_PREFIX_JOBS);
 
-	if (!ch->value || strlen(ref) >= FL_REF_MAX)
+	if (strlen(ref) >= FL_REF_MAX)
 		return;
 	if (fl_books_apply(&n->books, ref, ch->value, ch->rev) && n->lead.active) {
 		n->lead.due = true;
@@ -400,11 +397,15 @@
 	while (!fl_cancelled()) {
 		int rc;
 
-		if (rev == 0)
+		if (rev == 0) {
+			fl_books_list_begin(&n->books);
 			rc = fl_state_list(&n->state, FL_PREFIX_JOBS, on_job, n, &rev);
-		else
+			if (rc == 0 && !n->books.leading)
+				fl_books_list_end(&n->books, rev);
+		} else {
 			rc = fl_state_follow(&n->state, FL_PREFIX_JOBS, &rev, choice.hold_s,
 					     on_job, n);
+		}
 		if (rc == 0 && !n->jobs_known) {
 			n->jobs_known = true;
 			fl_info("node", "%s is ready", n->config->node);
@@ -438,6 +439,8 @@
 static int set_up(struct fl_node *n, const struct fl_config *c)
 {
 	n->config = c;
+	n->books.finals_most =
+		(unsigned)(c->ram_mb * 1024 * 1024 * choice.finals_share / sizeof(struct fl_final));
 	snprintf(n->boot, sizeof(n->boot), "%s-%.6f", c->node, fl_wall());
 	for (int i = 0; i < c->n_zones; i++)
 		if (fl_names_add(&n->books.zones, c->zones[i]) < 0)
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -28,8 +28,10 @@
 	}
 	if (!rec.final) {
 		job = fl_job_add(b, &rec.run, rec.submitted, ch->rev);
-		if (job)
+		if (job) {
 			job->rev = ch->rev;
+			job->listed = true;
+		}
 		return;
 	}
 	/* A cancelled job whose tasks may still be about stays, to be stopped and counted. */
@@ -37,13 +39,10 @@
 		job = fl_job_add(b, &rec.run, rec.submitted, ch->rev);
 		if (job) {
 			job->rev = ch->rev;
+			job->listed = true;
 			job->aborted = true;
 			job->aborted_at = l->now;
 		}
-	} else {
-		job = fl_job_find(b, ref);
-		if (job)
-			fl_job_finalise(b, job, rec.status);
 	}
 	fl_final_add(b, ref, rec.status, rec.parts);
 }
@@ -82,9 +81,13 @@
 
 	fl_books_forget_tasks(&n->books);
 	n->books.leading = true;
+	fl_books_list_begin(&n->books);
 	rc = fl_state_list(&n->state, FL_PREFIX_JOBS, load_job, &l, &rev);
-	if (!rc)
+	if (!rc) {
+		fl_books_list_end(&n->books, rev);
+		n->books.list_rev = rev;
 		rc = fl_state_list(&n->state, FL_PREFIX_PROGRESS, load_chunk, &l, &rev);
+	}
 	if (rc)
 		return rc;
 	if (l.bad) {
--- a/tests/test_reconcile.c
+++ b/tests/test_reconcile.c
@@ -573,9 +573,68 @@
 	free(w);
 }
 
+/* A watch lags: the submission of a job that was over before the takeover is heard after it. */
+static void a_late_word_brings_no_job_back(void **state)
+{
+	struct world *w = malloc(sizeof(*w));
+	struct fl_run run = {.parts = 1, .cpus = 1, .n_host_kinds = -1, .due_s = -1};
+	struct fl_books *b;
+	cJSON *v;
+
+	(void)state;
+	set_up(w, 1);
+	b = &w->node.books;
+	strcpy(run.ref, "run-000077");
+	strcpy(run.owner, "team");
+	strcpy(run.job_class, "c");
+	strcpy(run.bundle, "i");
+	v = fl_job_record_live(&run, 5);
+	b->list_rev = 100;
+	assert_null(fl_books_apply(b, run.ref, v, 90));
+	assert_non_null(fl_books_apply(b, run.ref, v, 101));
+	/* A follower drops what is deleted, and what a new list no longer holds. */
+	b->leading = false;
+	assert_null(fl_books_apply(b, run.ref, NULL, 110));
+	assert_null(fl_job_find(b, run.ref));
+	assert_non_null(fl_books_apply(b, run.ref, v, 120));
+	fl_books_list_begin(b);
+	fl_books_list_end(b, 119);
+	assert_non_null(fl_job_find(b, run.ref));
+	fl_books_list_end(b, 120);
+	assert_null(fl_job_find(b, run.ref));
+	cJSON_Delete(v);
+	tear_down(w);
+	free(w);
+}
+
+/* Final states are kept at hand up to a bound; the oldest are left to their records. */
+static void final_states_at_hand_are_bounded(void **state)
+{
+	struct world *w = malloc(sizeof(*w));
+	struct fl_books *b;
+
+	(void)state;
+	set_up(w, 1);
+	b = &w->node.books;
+	b->finals_most = 10;
+	for (int i = 0; i < 25; i++) {
+		char ref[FL_REF_MAX];
+
+		ref_of(1000 + i, ref);
+		fl_final_add(b, ref, FL_DONE, 1);
+	}
+	assert_int_equal(HASH_COUNT(b->finals), 10);
+	assert_null(fl_final_find(b, "run-001014"));
+	assert_non_null(fl_final_find(b, "run-001015"));
+	tear_down(w);
+	free(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_late_word_brings_no_job_back),
+		cmocka_unit_test(final_states_at_hand_are_bounded),
 		cmocka_unit_test(no_interleaving_breaks_a_rule),
 		cmocka_unit_test(a_job_without_chunks_is_harmless),
 		cmocka_unit_test(zones_are_counted_when_they_become_known),
