--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -334,6 +334,20 @@
 	}
 }
 
+void fl_books_sweep(struct fl_books *b, double before)
+{
+	for (int i = b->machines.n - 1; i >= 0; i--) {
+		struct fl_machine *m = b->machines.at[i], *moved;
+
+		if (!m->gone || m->gone_at >= before || m->n_slots > 0 || m->pushing)
+			continue;
+		moved = fl_machine_drop(&b->machines, m);
+		for (int k = 0; moved && k < moved->n_slots; k++)
+			fl_task_peek(moved->slots[k].job, moved->slots[k].index)->machine =
+				moved->id;
+	}
+}
+
 enum fl_status fl_job_status(const struct fl_job *job)
 {
 	if (job->aborted)
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -126,6 +126,8 @@
 /* A machine's place becomes known: its attempts now count in their zone. */
 void fl_books_describe(struct fl_books *b, struct fl_machine *m, int kind, int zone, bool spot,
 		       const char *endpoint);
+/* Drops tombstones older than `before`. Only where no machine or id is held across a wait. */
+void fl_books_sweep(struct fl_books *b, double before);
 enum fl_status fl_job_status(const struct fl_job *job);
 /* Everything that only a leader knows goes: tasks, machines, usage. */
 void fl_books_forget_tasks(struct fl_books *b);
--- a/src/bookkeeping/machines.c
+++ b/src/bookkeeping/machines.c
@@ -135,12 +135,25 @@
 	return false;
 }
 
+struct fl_machine *fl_machine_drop(struct fl_machines *ms, struct fl_machine *m)
+{
+	struct fl_machine *last = ms->at[--ms->n];
+
+	HASH_DEL(ms->table, m);
+	if (last != m) {
+		ms->at[m->id] = last;
+		last->id = m->id;
+	}
+	free(m->slots);
+	free(m);
+	return last != m ? last : NULL;
+}
+
 void fl_machines_clear(struct fl_machines *ms)
 {
 	HASH_CLEAR(hh, ms->table);
 	for (int i = 0; i < ms->n; i++) {
-		if (ms->at[i])
-			free(ms->at[i]->slots);
+		free(ms->at[i]->slots);
 		free(ms->at[i]);
 	}
 	free(ms->at);
--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -25,7 +25,7 @@
 struct fl_machine {
 	UT_hash_handle hh;
 	char name[FL_NAME_MAX], endpoint[FL_NAME_MAX];
-	int id; /* dense, stable while the machine is known */
+	int id; /* dense; changes only in fl_books_sweep */
 	int kind, zone;
 	bool spot;
 	bool described;  /* kind, zone and endpoint are known */
@@ -34,6 +34,7 @@
 	bool returned;   /* the cloud has taken it back */
 	bool listed;     /* was in the list being read */
 	bool gone;       /* proven gone: a tombstone against late reports */
+	double gone_at;
 	bool pushing;    /* a direct command is under way */
 	bool want_push;  /* something for a direct command has come up */
 	uint64_t tenure, serial, epoch; /* of the newest report */
@@ -56,7 +57,7 @@
 	struct fl_kind kinds[FL_KINDS_KNOWN_MAX];
 	int n_kinds;
 	struct fl_machine *table;
-	struct fl_machine **at; /* by id, with NULL where a tombstone was dropped */
+	struct fl_machine **at; /* by id */
 	int n, cap;
 };
 
@@ -71,6 +72,8 @@
 void fl_machine_drop_slot(struct fl_machine *m, const struct fl_job *job, uint32_t index);
 void fl_machine_note_bundle(struct fl_machine *m, int bundle);
 bool fl_machine_has_bundle(const struct fl_machine *m, int bundle);
+/* Forgets a machine with no slots; the last one takes its id. Returns that one, or NULL. */
+struct fl_machine *fl_machine_drop(struct fl_machines *ms, struct fl_machine *m);
 void fl_machines_clear(struct fl_machines *ms);
 
 #endif
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -370,6 +370,18 @@
 		write_digest(n, at, list);
 }
 
+static void forget_sent_home(struct fl_node *n, double before)
+{
+	struct fl_sent_home *s, *tmp;
+
+	HASH_ITER(hh, n->keeper.sent_home, s, tmp) {
+		if (s->at >= before)
+			continue;
+		HASH_DEL(n->keeper.sent_home, s);
+		free(s);
+	}
+}
+
 static void digest_duty(void *arg)
 {
 	struct fl_node *n = arg;
@@ -378,6 +390,7 @@
 		double now = fl_now();
 		struct fl_kept *k, *tmp;
 
+		forget_sent_home(n, now - choice.home_leases * n->config->lease_s);
 		HASH_ITER(hh, n->keeper.kept, k, tmp)
 			if (k->at < now - 5 * choice.digest_s)
 				unkeep(n, k);
--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -27,9 +27,10 @@
 	double soon_boots;   /* boot times within which an ending task's room is waited for */
 	double learn_s;      /* s over which the arrival of services is counted */
 	double reserve_sd;   /* spreads of the arrivals expected while a machine boots, on top */
+	double tombstone_s;  /* s; messages may arrive minutes late */
 	int machines_most;   /* rented in one round */
 	int tries;           /* of one rental that goes unanswered */
-} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.5, 0.4, 3.0, 0.7, 300.0, 2.0, 40, 3};
+} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.5, 0.4, 3.0, 0.7, 300.0, 2.0, 900.0, 40, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
 struct virtual {
@@ -577,6 +578,8 @@
 	while (fl_sleep(choice.round_s) == 0) {
 		if (!fl_lease_valid(n))
 			continue;
+		/* Here nothing of this duty is under way, and pushes keep their machines. */
+		fl_books_sweep(&n->books, fl_now() - choice.tombstone_s);
 		return_machines(n);
 		rent_wanted(n);
 		if (fl_now() > n->provision.listed_at + choice.list_s)
--- a/src/coordination/reconcile.c
+++ b/src/coordination/reconcile.c
@@ -292,6 +292,7 @@
 		return;
 	fl_info("cloud", "%s is gone: %s (%d tasks on it)", m->name, why, m->n_slots);
 	m->gone = true;
+	m->gone_at = fl_now();
 	m->up = false;
 	while (m->n_slots > 0)
 		fl_task_release(&n->books, m->slots[0].job, m->slots[0].index, 0);
--- a/tests/test_reconcile.c
+++ b/tests/test_reconcile.c
@@ -630,9 +630,43 @@
 	free(w);
 }
 
+/* A dropped tombstone gives its id to another machine, whose tasks must follow. */
+static void swept_machines_leave_the_books_whole(void **state)
+{
+	struct world *w = malloc(sizeof(*w));
+	struct fl_machine *m[3];
+	struct fl_books *b;
+	struct fl_job *job;
+
+	(void)state;
+	set_up(w, 1);
+	b = &w->node.books;
+	job = fl_job_find(b, "run-000000");
+	for (int i = 0; i < 3; i++) {
+		char host[FL_NAME_MAX];
+
+		host_of(50 + i, host);
+		m[i] = fl_machine_get(&b->machines, host, 0);
+		fl_books_describe(b, m[i], 0, 0, false, "x");
+		assert_int_equal(fl_task_place(b, job, (uint32_t)i, m[i], 1, 0), 0);
+	}
+	fl_reconcile_gone(&w->node, m[0], "test");
+	fl_books_sweep(b, fl_now() + 1);
+	assert_int_equal(b->machines.n, 2);
+	assert_null(fl_machine_find(&b->machines, "m-000050"));
+	assert_ptr_equal(b->machines.at[fl_task_peek(job, 2)->machine], m[2]);
+	assert_ptr_equal(b->machines.at[fl_task_peek(job, 1)->machine], m[1]);
+	fl_task_release(b, job, 2, 0);
+	assert_int_equal(m[2]->n_slots, 0);
+	assert_int_equal(b->teams.at[0].used_cpus, 1);
+	tear_down(w);
+	free(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(swept_machines_leave_the_books_whole),
 		cmocka_unit_test(a_late_word_brings_no_job_back),
 		cmocka_unit_test(final_states_at_hand_are_bounded),
 		cmocka_unit_test(no_interleaving_breaks_a_rule),
