--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -17,12 +17,13 @@
 	double gossip_s;    /* s between two exchanges with each peer */
 	double gossip_wait_s; /* s; a link that takes longer counts as down */
 	double refresh_s;   /* s; least time between two reads for a fresher proof */
+	double refresh_wait_s; /* s for which a report waits for such a read */
 	double digest_s;    /* s between two digests in the state service */
 	double margin_s;    /* s off the keeping time, for drift and late timers */
 	double home_s;      /* s that a worker's own zone's node must have been up */
 	double home_leases; /* leases between two times that one worker is sent home */
 	double record_use;  /* share of a value's limit that a digest fills */
-} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 2.0, 1.0, 1.0, 1.5, 0.85};
+} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 1.5, 2.0, 1.0, 1.0, 1.5, 0.85};
 
 static struct fl_peer *find_peer(struct fl_node *n, const char *name)
 {
@@ -109,17 +110,32 @@
 	return c->cancel_s - c->lease_s - choice.margin_s;
 }
 
+/* Never a lower epoch: the worker would drop it and wait there until its lease ends. */
+static bool has_proof(const struct fl_node *n, uint64_t epoch)
+{
+	return n->epoch > 0 && n->epoch >= epoch && fl_now() - n->proof_at <= keep_s(n);
+}
+
+/*
+ * A node that has just started is asked by many workers at once and has no proof yet. One read
+ * serves them all: a worker refused meanwhile loses seconds of its lease on nodes that are down.
+ */
 static bool may_keep(struct fl_node *n, uint64_t epoch)
 {
-	double now = fl_now();
+	struct fl_keeper *k = &n->keeper;
 
-	if ((n->epoch < epoch || now - n->proof_at > keep_s(n)) &&
-	    now > n->keeper.refreshed_at + choice.refresh_s) {
-		n->keeper.refreshed_at = now;
+	if (has_proof(n, epoch))
+		return true;
+	if (k->refreshing) {
+		fl_signal_wait(&k->refreshed, choice.refresh_wait_s);
+	} else if (fl_now() > k->refreshed_at + choice.refresh_s) {
+		k->refreshing = true;
 		fl_lease_refresh(n);
+		k->refreshing = false;
+		k->refreshed_at = fl_now();
+		fl_signal_wake(&k->refreshed);
 	}
-	/* Never a lower epoch: the worker would drop it and wait there until its lease ends. */
-	return n->epoch > 0 && n->epoch >= epoch && fl_now() - n->proof_at <= keep_s(n);
+	return has_proof(n, epoch);
 }
 
 static void answer_kept(struct fl_node *n, const struct fl_report *r, const char *body,
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -11,6 +11,7 @@
 #include "protocol/peers.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
+#include "transport/routine.h"
 
 struct fl_node;
 
@@ -31,6 +32,8 @@
 	struct fl_kept *kept;
 	struct fl_sent_home *sent_home;
 	double refreshed_at;
+	bool refreshing;
+	struct fl_signal refreshed; /* the read for a fresher proof has come back */
 };
 
 void fl_keeper_start(struct fl_node *n);
--- a/src/coordination/lease.c
+++ b/src/coordination/lease.c
@@ -261,13 +261,18 @@
 	uint64_t rev = 0;
 
 	while (!fl_cancelled()) {
+		double sent = fl_now();
 		int rc;
 
-		if (rev == 0)
+		if (rev == 0) {
 			rc = fl_state_list(&n->state, FL_PREFIX_CONTROL, on_control, n, &rev);
-		else
+			/* A read like any other: with it a node just started can keep at once. */
+			if (rc == 0 && sent > n->proof_at)
+				n->proof_at = sent;
+		} else {
 			rc = fl_state_follow(&n->state, FL_PREFIX_CONTROL, &rev, choice.hold_s,
 					     on_control, n);
+		}
 		if (rc == -ERANGE)
 			rev = 0;
 		if (rc && fl_sleep(choice.retry_s) != 0)
