--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -56,7 +56,7 @@
 }
 
 struct fl_job *fl_job_add(struct fl_books *b, const struct fl_run *run, double submitted,
-			  uint64_t rev)
+                          uint64_t rev)
 {
 	struct fl_job *j = fl_job_find(b, run->ref);
 	int owner = fl_teams_find(&b->teams, run->owner);
@@ -238,7 +238,7 @@
 }
 
 int fl_task_place(struct fl_books *b, struct fl_job *job, uint32_t index, struct fl_machine *m,
-		  uint64_t epoch, double now)
+                  uint64_t epoch, double now)
 {
 	struct fl_task *t = fl_task_get(job, index);
 
@@ -258,7 +258,7 @@
 }
 
 int fl_task_restore(struct fl_books *b, struct fl_job *job, uint32_t index, uint32_t attempt,
-		    struct fl_machine *m, uint64_t tenure, double now)
+                    struct fl_machine *m, uint64_t tenure, double now)
 {
 	struct fl_task *t = fl_task_get(job, index);
 
@@ -318,7 +318,7 @@
 }
 
 void fl_books_describe(struct fl_books *b, struct fl_machine *m, int kind, int zone, bool spot,
-		       const char *endpoint)
+                       const char *endpoint)
 {
 	bool was_known = m->zone >= 0;
 
@@ -359,7 +359,7 @@
 {
 	struct fl_job *j, *tmp;
 
-	HASH_ITER(hh, b->jobs, j, tmp) {
+	HASH_ITER (hh, b->jobs, j, tmp) {
 		free_chunks(j);
 		j->n_waiting = j->parts;
 		j->n_placed = j->n_running = j->n_done = 0;
@@ -381,12 +381,12 @@
 	struct fl_final *f, *ftmp;
 	struct fl_job *j, *jtmp;
 
-	HASH_ITER(hh, b->jobs, j, jtmp) {
+	HASH_ITER (hh, b->jobs, j, jtmp) {
 		HASH_DEL(b->jobs, j);
 		free_chunks(j);
 		free(j);
 	}
-	HASH_ITER(hh, b->finals, f, ftmp) {
+	HASH_ITER (hh, b->finals, f, ftmp) {
 		HASH_DEL(b->finals, f);
 		free(f);
 	}
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -19,12 +19,12 @@
 
 struct fl_task {
 	uint8_t phase, sight, stop, fails;
-	uint32_t attempt; /* the last one used; 0: none yet */
-	int32_t machine;  /* id, while PLACED */
-	uint64_t tenure;  /* of the machine, at placement */
-	uint64_t epoch;   /* in which this leader placed it; 0: read from a record */
-	uint64_t gen;     /* of the chunk, when this task last changed */
-	double since;     /* placed; or, when running, began to run */
+	uint32_t attempt;  /* the last one used; 0: none yet */
+	int32_t machine;   /* id, while PLACED */
+	uint64_t tenure;   /* of the machine, at placement */
+	uint64_t epoch;    /* in which this leader placed it; 0: read from a record */
+	uint64_t gen;      /* of the chunk, when this task last changed */
+	double since;      /* placed; or, when running, began to run */
 	double not_before; /* WAITING: backoff */
 };
 
@@ -55,13 +55,13 @@
 	uint32_t n_waiting, n_placed, n_running, n_done;
 	uint32_t zone_placed[FL_ZONES_MAX];
 	uint32_t zone_unknown; /* placed on machines whose zone is not known yet */
-	uint32_t scan_from; /* no task below it is WAITING */
+	uint32_t scan_from;    /* no task below it is WAITING */
 	uint32_t n_chunks;
 	struct fl_chunk **chunks; /* NULL entry: all its tasks wait and never ran */
-	double not_before;  /* job-wide backoff after faults on several machines */
-	uint32_t strikes;   /* error exits in a row, on any machine */
+	double not_before;        /* job-wide backoff after faults on several machines */
+	uint32_t strikes;         /* error exits in a row, on any machine */
 	double window_until; /* steady; backfill window while this job is the top one; 0: not set */
-	bool listed; /* was in the list of job records being read */
+	bool listed;         /* was in the list of job records being read */
 	bool queued_dirty;
 	struct fl_job *next_dirty;
 };
@@ -90,7 +90,7 @@
 struct fl_final *fl_final_find(const struct fl_books *b, const char *ref);
 /* Adds a live job from its description; NULL if it cannot be read here (unknown team). */
 struct fl_job *fl_job_add(struct fl_books *b, const struct fl_run *run, double submitted,
-			  uint64_t rev);
+                          uint64_t rev);
 /* Turns a live job into its final state; its tasks must hold no machine. */
 void fl_job_finalise(struct fl_books *b, struct fl_job *job, enum fl_status status);
 /* Forgets a live job; its tasks must hold no machine. */
@@ -113,10 +113,10 @@
 
 /* WAITING -> PLACED with a new attempt. */
 int fl_task_place(struct fl_books *b, struct fl_job *job, uint32_t index, struct fl_machine *m,
-		  uint64_t epoch, double now);
+                  uint64_t epoch, double now);
 /* Puts an attempt read from a record on its machine. */
 int fl_task_restore(struct fl_books *b, struct fl_job *job, uint32_t index, uint32_t attempt,
-		    struct fl_machine *m, uint64_t tenure, double now);
+                    struct fl_machine *m, uint64_t tenure, double now);
 /* PLACED -> WAITING: the attempt is proven not to be on its machine. */
 void fl_task_release(struct fl_books *b, struct fl_job *job, uint32_t index, double not_before);
 /* Any -> DONE. */
@@ -125,7 +125,7 @@
 
 /* A machine's place becomes known: its attempts now count in their zone. */
 void fl_books_describe(struct fl_books *b, struct fl_machine *m, int kind, int zone, bool spot,
-		       const char *endpoint);
+                       const char *endpoint);
 /* Drops tombstones older than `before`. Only where no machine or id is held across a wait. */
 void fl_books_sweep(struct fl_books *b, double before);
 enum fl_status fl_job_status(const struct fl_job *job);
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -46,7 +46,7 @@
 }
 
 cJSON *fl_job_record_final(enum fl_status status, uint32_t parts, const struct fl_run *run,
-			   double submitted)
+                           double submitted)
 {
 	cJSON *o = run ? fl_job_record_live(run, submitted) : cJSON_CreateObject();
 
@@ -108,7 +108,7 @@
 }
 
 int fl_ledger_read(struct fl_state *s, const char *ref, struct fl_job_record *rec, cJSON **v,
-		   uint64_t *rev)
+                   uint64_t *rev)
 {
 	char key[FL_KEY_MAX];
 	cJSON *final = NULL;
@@ -130,7 +130,7 @@
 {
 	struct fl_job *job, *tmp;
 
-	HASH_ITER(hh, b->jobs, job, tmp)
+	HASH_ITER (hh, b->jobs, job, tmp)
 		job->listed = false;
 }
 
@@ -139,7 +139,7 @@
 	struct fl_job *job, *tmp;
 
 	/* One that was stored after the list was made is not in it and not over. */
-	HASH_ITER(hh, b->jobs, job, tmp)
+	HASH_ITER (hh, b->jobs, job, tmp)
 		if (!job->listed && job->rev <= rev && job->n_placed == 0)
 			fl_job_drop(b, job);
 }
@@ -212,8 +212,8 @@
 			e = cJSON_CreateArray();
 			cJSON_AddItemToArray(e, cJSON_CreateNumber(base + i));
 			cJSON_AddItemToArray(e, cJSON_CreateNumber(t->attempt));
-			cJSON_AddItemToArray(
-				e, cJSON_CreateString(b->machines.at[t->machine]->name));
+			cJSON_AddItemToArray(e,
+			                     cJSON_CreateString(b->machines.at[t->machine]->name));
 			cJSON_AddItemToArray(e, cJSON_CreateNumber((double)t->tenure));
 			cJSON_AddItemToArray(m, e);
 		} else if (t->attempt > 0) {
@@ -250,11 +250,11 @@
 	if (!m)
 		return -ENOMEM;
 	return fl_task_restore(b, job, (uint32_t)index, (uint32_t)attempt, m, (uint64_t)tenure,
-			       now);
+	                       now);
 }
 
 int fl_chunk_restore(struct fl_books *b, struct fl_job *job, uint32_t chunk, const cJSON *v,
-		     uint64_t rev, double now)
+                     uint64_t rev, double now)
 {
 	double first, last, attempt;
 	struct fl_chunk *c;
@@ -263,7 +263,7 @@
 	if (chunk >= job->n_chunks || !fl_task_get(job, chunk * FL_CHUNK))
 		return -EPROTO;
 	c = job->chunks[chunk];
-	cJSON_ArrayForEach(e, fl_json_get(v, "d")) {
+	cJSON_ArrayForEach (e, fl_json_get(v, "d")) {
 		if (!item_number(e, 0, job->parts - 1, &first) ||
 		    !item_number(e, 1, job->parts - 1, &last))
 			return -EPROTO;
@@ -277,7 +277,7 @@
 			job->n_done++;
 		}
 	}
-	cJSON_ArrayForEach(e, fl_json_get(v, "t")) {
+	cJSON_ArrayForEach (e, fl_json_get(v, "t")) {
 		struct fl_task *t;
 
 		if (!item_number(e, 0, job->parts - 1, &first) ||
@@ -288,7 +288,7 @@
 			return -ENOMEM;
 		t->attempt = (uint32_t)attempt;
 	}
-	cJSON_ArrayForEach(e, fl_json_get(v, "m")) {
+	cJSON_ArrayForEach (e, fl_json_get(v, "m")) {
 		int rc = restore_placed(b, job, e, now);
 
 		if (rc)
@@ -303,7 +303,7 @@
 	double first, last;
 	const cJSON *e;
 
-	cJSON_ArrayForEach(e, fl_json_get(v, "d")) {
+	cJSON_ArrayForEach (e, fl_json_get(v, "d")) {
 		if (!item_number(e, 0, FL_PARTS_MAX, &first) ||
 		    !item_number(e, 1, FL_PARTS_MAX, &last) || last < first)
 			return -EPROTO;
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -24,7 +24,7 @@
 	bool final;
 	enum fl_status status; /* when final */
 	uint32_t parts;
-	bool has_run;      /* a cancelled job keeps its description until its tasks are gone */
+	bool has_run; /* a cancelled job keeps its description until its tasks are gone */
 	struct fl_run run;
 	double submitted;
 };
@@ -35,11 +35,11 @@
  * owned by the caller, or NULL. -ENOENT: no such job.
  */
 int fl_ledger_read(struct fl_state *s, const char *ref, struct fl_job_record *rec, cJSON **v,
-		   uint64_t *rev);
+                   uint64_t *rev);
 
 cJSON *fl_job_record_live(const struct fl_run *run, double submitted);
 cJSON *fl_job_record_final(enum fl_status status, uint32_t parts, const struct fl_run *run,
-			   double submitted);
+                           double submitted);
 void fl_job_describe(const struct fl_books *b, const struct fl_job *job, struct fl_run *out);
 int fl_job_record_decode(const cJSON *v, struct fl_job_record *out);
 /*
@@ -47,7 +47,7 @@
  * (no value) means that the job is over: only a leader keeps it, to finish what it is doing.
  */
 struct fl_job *fl_books_apply(struct fl_books *b, const char *ref, const cJSON *value,
-			      uint64_t rev);
+                              uint64_t rev);
 
 /* Around a whole list of job records: live jobs that it no longer holds are dropped. */
 void fl_books_list_begin(struct fl_books *b);
@@ -56,7 +56,7 @@
 cJSON *fl_chunk_encode(const struct fl_books *b, const struct fl_job *job, uint32_t chunk);
 /* Reads a progress record into tasks and machines; machines not known yet are added. */
 int fl_chunk_restore(struct fl_books *b, struct fl_job *job, uint32_t chunk, const cJSON *v,
-		     uint64_t rev, double now);
+                     uint64_t rev, double now);
 /* Counts of a progress record, for a node that does not lead. */
 int fl_chunk_count(const cJSON *v, uint32_t *done, uint32_t *placed);
 
--- a/src/bookkeeping/machines.c
+++ b/src/bookkeeping/machines.c
@@ -12,7 +12,7 @@
 }
 
 void fl_kinds_set(struct fl_machines *ms, const struct fl_names *zones,
-		  const struct fl_host_kind *kinds, int n)
+                  const struct fl_host_kind *kinds, int n)
 {
 	for (int i = 0; i < n; i++) {
 		const struct fl_host_kind *h = &kinds[i];
--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -28,25 +28,25 @@
 	int id; /* dense; changes only in fl_books_sweep */
 	int kind, zone;
 	bool spot;
-	bool described;  /* kind, zone and endpoint are known */
-	bool up;         /* has reported to this leader */
-	bool deleting;   /* is to be returned; nothing more is placed here */
-	bool returned;   /* the cloud has taken it back */
-	bool listed;     /* was in the list being read */
-	bool gone;       /* proven gone: a tombstone against late reports */
+	bool described; /* kind, zone and endpoint are known */
+	bool up;        /* has reported to this leader */
+	bool deleting;  /* is to be returned; nothing more is placed here */
+	bool returned;  /* the cloud has taken it back */
+	bool listed;    /* was in the list being read */
+	bool gone;      /* proven gone: a tombstone against late reports */
 	double gone_at;
-	bool pushing;    /* a direct command is under way */
-	bool want_push;  /* something for a direct command has come up */
+	bool pushing;                   /* a direct command is under way */
+	bool want_push;                 /* something for a direct command has come up */
 	uint64_t tenure, serial, epoch; /* of the newest report */
 	uint64_t direct_epoch;          /* highest epoch of a direct launch sent here; 0: none */
-	double heard;       /* steady time of the newest report */
+	double heard;                   /* steady time of the newest report */
 	double reached;     /* and of the newest that orders could answer, or came by a command */
 	double created;     /* steady time of rental or first sight */
 	double idle_since;  /* 0: not idle */
 	double reclaim_at;  /* 0: no notice */
 	double avoid_until; /* faults seen: nothing is placed before */
 	int faults;
-	int foreign;        /* reported tasks that no record accounts for */
+	int foreign;           /* reported tasks that no record accounts for */
 	struct fl_slot *slots; /* attempts that may be on the machine */
 	int n_slots, cap_slots;
 	double used_cpus, used_gpus, used_ram;
@@ -64,7 +64,7 @@
 int fl_kind_find(const struct fl_machines *ms, const char *name);
 /* Replaces what is known of the kinds; indices of known names stay. */
 void fl_kinds_set(struct fl_machines *ms, const struct fl_names *zones,
-		  const struct fl_host_kind *kinds, int n);
+                  const struct fl_host_kind *kinds, int n);
 struct fl_machine *fl_machine_find(const struct fl_machines *ms, const char *name);
 struct fl_machine *fl_machine_get(struct fl_machines *ms, const char *name, double now);
 void fl_machine_describe(struct fl_machine *m, int kind, int zone, bool spot, const char *endpoint);
--- a/src/config.c
+++ b/src/config.c
@@ -43,7 +43,7 @@
 }
 
 static void get_str(struct reader *r, const cJSON *o, const char *where, const char *key,
-		    char out[FL_CONFIG_NAME])
+                    char out[FL_CONFIG_NAME])
 {
 	const cJSON *v = need(r, o, where, key);
 
@@ -60,18 +60,18 @@
 }
 
 static void get_addr(struct reader *r, const cJSON *o, const char *where, const char *key,
-		     char out[FL_CONFIG_NAME])
+                     char out[FL_CONFIG_NAME])
 {
 	struct sockaddr_in sa;
 
 	get_str(r, o, where, key, out);
 	if (!r->failed && fl_parse_addr(out, &sa) != 0)
 		complain(r, "%s%s: must be an IPv4 address and port, like 10.0.0.1:8080", where,
-			 key);
+		         key);
 }
 
 static void get_num(struct reader *r, const cJSON *o, const char *where, const char *key,
-		    double low, double high, double *out)
+                    double low, double high, double *out)
 {
 	const cJSON *v = need(r, o, where, key);
 
@@ -86,7 +86,7 @@
 }
 
 static void get_int(struct reader *r, const cJSON *o, const char *where, const char *key,
-		    double low, double high, int *out)
+                    double low, double high, int *out)
 {
 	double d = 0;
 
@@ -109,7 +109,7 @@
 
 /* An array that may be missing; NULL then, or when it is ill-typed. */
 static const cJSON *get_list(struct reader *r, const cJSON *o, const char *where, const char *key,
-			     int most)
+                             int most)
 {
 	const cJSON *v = cJSON_GetObjectItemCaseSensitive(o, key);
 
@@ -131,7 +131,7 @@
 	const cJSON *list = get_list(r, root, "", "known", FL_CONFIG_PEERS), *e;
 	char where[48];
 
-	cJSON_ArrayForEach(e, list) {
+	cJSON_ArrayForEach (e, list) {
 		struct fl_config_peer *p = &c->peers[c->n_peers];
 
 		snprintf(where, sizeof(where), "known[%d].", c->n_peers);
@@ -149,7 +149,7 @@
 	if (!need(r, s, "settings.", "zones"))
 		return;
 	list = get_list(r, s, "settings.", "zones", FL_CONFIG_ZONES);
-	cJSON_ArrayForEach(e, list) {
+	cJSON_ArrayForEach (e, list) {
 		if (!cJSON_IsString(e) || strlen(e->valuestring) >= FL_CONFIG_NAME) {
 			complain(r, "settings.zones: must hold names");
 			return;
@@ -165,7 +165,7 @@
 	const cJSON *list = get_list(r, s, "settings.", "teams", FL_CONFIG_TEAMS), *e;
 	char where[48];
 
-	cJSON_ArrayForEach(e, list) {
+	cJSON_ArrayForEach (e, list) {
 		struct fl_config_team *t = &c->teams[c->n_teams];
 
 		snprintf(where, sizeof(where), "settings.teams[%d].", c->n_teams);
@@ -183,7 +183,7 @@
 	const cJSON *list = get_list(r, s, "settings.", "objectives", FL_CONFIG_OBJECTIVES), *e;
 	char where[48];
 
-	cJSON_ArrayForEach(e, list) {
+	cJSON_ArrayForEach (e, list) {
 		struct fl_config_objective *o = &c->objectives[c->n_objectives];
 
 		snprintf(where, sizeof(where), "settings.objectives[%d].", c->n_objectives);
@@ -226,7 +226,7 @@
 		get_num(r, t, "settings.resources.", "core_share", 0.001, 1024, &c->core_share);
 		get_num(r, t, "settings.resources.", "ram_mb", 1, 1e9, &c->ram_mb);
 		get_int(r, t, "settings.resources.", "max_connections", 16, 1e6,
-			&c->max_connections);
+		        &c->max_connections);
 	}
 }
 
--- a/src/config.h
+++ b/src/config.h
@@ -5,8 +5,13 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-enum { FL_CONFIG_NAME = 64, FL_CONFIG_PEERS = 16, FL_CONFIG_ZONES = 8, FL_CONFIG_TEAMS = 64,
-       FL_CONFIG_OBJECTIVES = 64 };
+enum {
+	FL_CONFIG_NAME = 64,
+	FL_CONFIG_PEERS = 16,
+	FL_CONFIG_ZONES = 8,
+	FL_CONFIG_TEAMS = 64,
+	FL_CONFIG_OBJECTIVES = 64
+};
 
 struct fl_config_peer {
 	char node[FL_CONFIG_NAME], location[FL_CONFIG_NAME], addr[FL_CONFIG_NAME];
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -12,17 +12,17 @@
 #include "transport/routine.h"
 
 static const struct {
-	double patience_s;  /* s for a report; the worker gives up after 4 */
-	double direct_s;    /* s of it for the straight way, if there is another */
-	double gossip_s;    /* s between two exchanges with each peer */
-	double gossip_wait_s; /* s; a link that takes longer counts as down */
-	double refresh_s;   /* s; least time between two reads for a fresher proof */
+	double patience_s;     /* s for a report; the worker gives up after 4 */
+	double direct_s;       /* s of it for the straight way, if there is another */
+	double gossip_s;       /* s between two exchanges with each peer */
+	double gossip_wait_s;  /* s; a link that takes longer counts as down */
+	double refresh_s;      /* s; least time between two reads for a fresher proof */
 	double refresh_wait_s; /* s for which a report waits for such a read */
-	double digest_s;    /* s between two digests in the state service */
-	double margin_s;    /* s off the keeping time, for drift and late timers */
-	double home_s;      /* s that a worker's own zone's node must have been up */
-	double home_leases; /* leases between two times that one worker is sent home */
-	double record_use;  /* share of a value's limit that a digest fills */
+	double digest_s;       /* s between two digests in the state service */
+	double margin_s;       /* s off the keeping time, for drift and late timers */
+	double home_s;         /* s that a worker's own zone's node must have been up */
+	double home_leases;    /* leases between two times that one worker is sent home */
+	double record_use;     /* share of a value's limit that a digest fills */
 } choice = {1.5, 0.7, 1.0, 1.0, 0.5, 1.5, 2.0, 1.0, 1.0, 1.5, 0.85};
 
 static struct fl_peer *find_peer(struct fl_node *n, const char *name)
@@ -48,7 +48,7 @@
 }
 
 int fl_relay(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
-	     bool last_hop, double patience_s, struct fl_reply *out)
+             bool last_hop, double patience_s, struct fl_reply *out)
 {
 	struct fl_peer *lead = find_peer(n, n->leader);
 	double until = fl_now() + patience_s;
@@ -139,7 +139,7 @@
 }
 
 static void answer_kept(struct fl_node *n, const struct fl_report *r, const char *body,
-			struct fl_response *resp)
+                        struct fl_response *resp)
 {
 	struct fl_orders orders;
 
@@ -149,15 +149,15 @@
 		resp->body = fl_orders_take(&orders);
 		keep(n, r, body);
 	} else {
-		fl_debug("keeper", "%s is refused: epoch %llu, known %llu, proof %.1f s old", r->host,
-			 (unsigned long long)r->epoch, (unsigned long long)n->epoch,
-			 fl_now() - n->proof_at);
+		fl_debug("keeper", "%s is refused: epoch %llu, known %llu, proof %.1f s old",
+		         r->host, (unsigned long long)r->epoch, (unsigned long long)n->epoch,
+		         fl_now() - n->proof_at);
 		fl_refuse(resp, 503, "no proof of the epoch");
 	}
 }
 
 static void relay_or_keep(struct fl_node *n, const struct fl_report *r, const char *body,
-			  bool last_hop, struct fl_response *resp)
+                          bool last_hop, struct fl_response *resp)
 {
 	struct fl_reply reply;
 
@@ -210,8 +210,7 @@
 	for (int i = 0; i < n->n_peers; i++) {
 		const struct fl_peer *p = &n->peers[i];
 
-		if (strcmp(p->location, r->site) == 0 && p->up &&
-		    now > p->up_since + choice.home_s)
+		if (strcmp(p->location, r->site) == 0 && p->up && now > p->up_since + choice.home_s)
 			return sent_lately(n, r->host) ? NULL : p;
 	}
 	return NULL;
@@ -232,7 +231,7 @@
 }
 
 void fl_keeper_report(struct fl_node *n, const char *body, size_t len, bool last_hop,
-		      struct fl_response *resp)
+                      struct fl_response *resp)
 {
 	const struct fl_peer *home;
 	struct fl_report r;
@@ -362,7 +361,7 @@
 	cJSON *list = NULL;
 	int at = 0;
 
-	HASH_ITER(hh, n->keeper.kept, k, tmp) {
+	HASH_ITER (hh, n->keeper.kept, k, tmp) {
 		/* Quotes are escaped on the way: count them twice. */
 		size_t len = k->body ? strlen(k->body) * 5 / 4 + 8 : 0;
 
@@ -390,7 +389,7 @@
 {
 	struct fl_sent_home *s, *tmp;
 
-	HASH_ITER(hh, n->keeper.sent_home, s, tmp) {
+	HASH_ITER (hh, n->keeper.sent_home, s, tmp) {
 		if (s->at >= before)
 			continue;
 		HASH_DEL(n->keeper.sent_home, s);
@@ -407,7 +406,7 @@
 		struct fl_kept *k, *tmp;
 
 		forget_sent_home(n, now - choice.home_leases * n->config->lease_s);
-		HASH_ITER(hh, n->keeper.kept, k, tmp)
+		HASH_ITER (hh, n->keeper.kept, k, tmp)
 			if (k->at < now - 5 * choice.digest_s)
 				unkeep(n, k);
 		if (!n->keeper.kept || fl_lease_valid(n) || !n->leader[0] ||
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -38,10 +38,10 @@
 
 void fl_keeper_start(struct fl_node *n);
 void fl_keeper_report(struct fl_node *n, const char *body, size_t len, bool last_hop,
-		      struct fl_response *resp);
+                      struct fl_response *resp);
 /* Passes a call to the leader, direct or through a third node: 0 and the answer, or an errno. */
 int fl_relay(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
-	     bool last_hop, double patience_s, struct fl_reply *out);
+             bool last_hop, double patience_s, struct fl_reply *out);
 void fl_keeper_gossip(struct fl_node *n, const char *body, size_t len, struct fl_response *resp);
 
 #endif
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -18,20 +18,17 @@
 	double pass_budget_s; /* s of a pass before it stops and goes on next time */
 	int waiting_most;     /* tasks of one job looked at in one pass */
 	double fresh_reports; /* report intervals after which a silent machine gets no new task */
-	double write_share;   /* share of the state service's writes that the leader's records use */
-	double retry_s;       /* s after a refused write */
-	int pushes;           /* direct commands under way at once */
-	double push_wait_s;   /* s for a direct command */
-	double hold_s;        /* s; length of a watch */
-	double forget_s;      /* s; finished entries wait this long for a higher epoch */
-	double cancel_share;  /* share of cancel_s after which a machine is given up for a task */
-	double batch_bytes;   /* bytes of records in one transaction, of 64 KiB */
+	double write_share;  /* share of the state service's writes that the leader's records use */
+	double retry_s;      /* s after a refused write */
+	int pushes;          /* direct commands under way at once */
+	double push_wait_s;  /* s for a direct command */
+	double hold_s;       /* s; length of a watch */
+	double forget_s;     /* s; finished entries wait this long for a higher epoch */
+	double cancel_share; /* share of cancel_s after which a machine is given up for a task */
+	double batch_bytes;  /* bytes of records in one transaction, of 64 KiB */
 } choice = {0.1, 1.0, 0.03, 256, 3, 0.7, 0.2, 24, 2.0, 10.0, 40.0, 0.45, 40000};
 
-static bool leading(const struct fl_node *n)
-{
-	return n->lead.active && fl_lease_valid(n);
-}
+static bool leading(const struct fl_node *n) { return n->lead.active && fl_lease_valid(n); }
 
 /* ---- passes ---- */
 
@@ -53,8 +50,7 @@
 	/* An ensemble starts only whole: all that is not done, and none of it anywhere yet. */
 	if (job->kind == FL_ENSEMBLE && job->n_placed > 0)
 		return 0;
-	while (count < most &&
-	       (at = fl_task_next_waiting(job, at, now)) < job->parts) {
+	while (count < most && (at = fl_task_next_waiting(job, at, now)) < job->parts) {
 		count++;
 		at++;
 	}
@@ -158,7 +154,7 @@
 	struct fl_job *job, *tmp;
 	size_t n = 0;
 
-	HASH_ITER(hh, b->jobs, job, tmp)
+	HASH_ITER (hh, b->jobs, job, tmp)
 		if (!job->aborted)
 			scratch[n++] = job;
 	qsort(scratch, n, sizeof(*scratch), by_submission);
@@ -167,7 +163,7 @@
 		cpus[job->owner] += job->cpus * job->parts;
 		gpus[job->owner] += job->gpus * job->parts;
 		job->owed = fl_team_within_guarantee(&b->teams.at[job->owner], cpus[job->owner],
-						     gpus[job->owner]);
+		                                     gpus[job->owner]);
 	}
 }
 
@@ -188,15 +184,15 @@
 	s->in.machines = malloc(n_machines * sizeof(*s->in.machines));
 	s->in.runs = malloc(n_runs * sizeof(*s->in.runs));
 	s->in.teams = malloc(sizeof(b->teams.at));
-	if (!s->jobs || !s->machines || !s->runs || !s->in.jobs || !s->in.machines ||
-	    !s->in.runs || !s->in.teams)
+	if (!s->jobs || !s->machines || !s->runs || !s->in.jobs || !s->in.machines || !s->in.runs ||
+	    !s->in.teams)
 		return -ENOMEM;
 	s->in.params = &fl_sched_defaults;
 	memcpy(s->in.teams, b->teams.at, sizeof(b->teams.at));
 	s->in.n_teams = b->teams.n;
 	s->in.n_zones = b->zones.n;
 	mark_owed(b, s->jobs);
-	HASH_ITER(hh, b->jobs, job, tmp)
+	HASH_ITER (hh, b->jobs, job, tmp)
 		if (!job->aborted && job->n_waiting > 0)
 			snap_job(s, job, now, wall);
 	for (int i = 0; i < b->machines.n; i++) {
@@ -209,13 +205,13 @@
 		k = &b->machines.kinds[m->kind];
 		sm = &s->in.machines[s->in.n_machines];
 		*sm = (struct fl_sched_machine){.kind = m->kind,
-						.zone = m->zone,
-						.spot = m->spot,
-						.cpus = k->cpus - m->used_cpus,
-						.gpus = k->gpus - m->used_gpus,
-						.ram_gb = k->ram_gb - m->used_ram,
-						.pull_gb_s = k->pull_gb_s,
-						.cache = m->cache};
+		                                .zone = m->zone,
+		                                .spot = m->spot,
+		                                .cpus = k->cpus - m->used_cpus,
+		                                .gpus = k->gpus - m->used_gpus,
+		                                .ram_gb = k->ram_gb - m->used_ram,
+		                                .pull_gb_s = k->pull_gb_s,
+		                                .cache = m->cache};
 		for (int k2 = 0; k2 < m->n_slots; k2++) {
 			snap_run(s, s->in.n_machines, &m->slots[k2], now);
 			sm->held = sm->held || m->slots[k2].job->kind == FL_STANDING;
@@ -254,7 +250,7 @@
 		job->window_until = 0;
 		m->want_push = true;
 		fl_info("schedule", "%s/%u try %u on %s", job->ref, index,
-			fl_task_peek(job, index)->attempt, m->name);
+		        fl_task_peek(job, index)->attempt, m->name);
 	}
 	for (int i = 0; i < out->n_stops; i++) {
 		struct fl_job *job = s->runs[out->stops[i]].job;
@@ -293,8 +289,8 @@
 	fl_provision_shortage(n, s.jobs, out.short_of, s.in.n_jobs);
 	n->lead.passes++;
 	fl_debug("schedule", "pass %llu: %d jobs, %d machines, %d starts, %d stops, %.1f ms%s",
-		 (unsigned long long)n->lead.passes, s.in.n_jobs, s.in.n_machines, out.n_starts,
-		 out.n_stops, (fl_now() - now) * 1000, out.resume ? ", to be continued" : "");
+	         (unsigned long long)n->lead.passes, s.in.n_jobs, s.in.n_machines, out.n_starts,
+	         out.n_stops, (fl_now() - now) * 1000, out.resume ? ", to be continued" : "");
 	if (n->books.dirty)
 		fl_signal_wake(&n->lead.dirty);
 out:
@@ -804,7 +800,7 @@
 
 	if (!ch->value || !leading(n))
 		return;
-	cJSON_ArrayForEach(e, fl_json_get(ch->value, "reports")) {
+	cJSON_ArrayForEach (e, fl_json_get(ch->value, "reports")) {
 		struct fl_report r;
 
 		if (!cJSON_IsString(e) ||
@@ -823,8 +819,8 @@
 
 	while (!fl_cancelled()) {
 		int rc = rev == 0 ? fl_state_list(&n->state, FL_PREFIX_KEPT, on_kept, n, &rev)
-				  : fl_state_follow(&n->state, FL_PREFIX_KEPT, &rev, choice.hold_s,
-						    on_kept, n);
+		                  : fl_state_follow(&n->state, FL_PREFIX_KEPT, &rev, choice.hold_s,
+		                                    on_kept, n);
 		if (rc == -ERANGE)
 			rev = 0;
 		if (rc && fl_sleep(choice.retry_s) != 0)
@@ -854,10 +850,10 @@
 				if (!job->aborted)
 					continue;
 				if (now > job->aborted_at +
-						  choice.cancel_share * n->config->cancel_s &&
+				                    choice.cancel_share * n->config->cancel_s &&
 				    !m->deleting) {
 					fl_info("workers", "%s does not let go of %s: returned",
-						m->name, job->ref);
+					        m->name, job->ref);
 					m->deleting = true;
 				}
 				fl_leader_push(n, m);
@@ -925,9 +921,10 @@
 {
 	resp->status = 200;
 	resp->body = fl_status_encode(f->ref, (enum fl_status)f->status,
-				      !counts ? -1 : f->status == FL_DONE ? (int64_t)f->parts
-							 : 0,
-				      0);
+	                              !counts                ? -1
+	                              : f->status == FL_DONE ? (int64_t)f->parts
+	                                                     : 0,
+	                              0);
 }
 
 static void say_aborted(struct fl_response *resp, const char *ref)
@@ -961,13 +958,13 @@
 		fl_later(resp, "the state service does not answer");
 	} else if (rec.final) {
 		resp->status = 200;
-		resp->body = fl_status_encode(ref, rec.status,
-					      rec.status == FL_DONE ? rec.parts : 0, 0);
+		resp->body =
+			fl_status_encode(ref, rec.status, rec.status == FL_DONE ? rec.parts : 0, 0);
 	} else {
 		job = fl_books_apply(&n->books, ref, v, rev);
 		resp->status = 200;
 		resp->body = fl_status_encode(ref, job ? fl_job_status(job) : FL_PENDING,
-					      job ? job->n_done : 0, job ? job->n_running : 0);
+		                              job ? job->n_done : 0, job ? job->n_running : 0);
 	}
 	cJSON_Delete(v);
 }
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -13,10 +13,10 @@
 enum { FL_DUTIES_MAX = 8 };
 
 struct fl_leadership {
-	bool active; /* duties run, books are loaded */
+	bool active;          /* duties run, books are loaded */
 	uint64_t first_epoch; /* the epoch of the takeover; raised ones lie above it */
-	double since; /* steady; since when machines could be heard without a break */
-	int running; /* routines that use the leader's books */
+	double since;         /* steady; since when machines could be heard without a break */
+	int running;          /* routines that use the leader's books */
 	struct fl_routine *duty[FL_DUTIES_MAX];
 	int n_duties;
 	struct fl_signal work;  /* something to decide */
@@ -24,7 +24,7 @@
 	struct fl_signal ended; /* a routine has ended */
 	struct fl_budget writes;
 	struct fl_trash *trash; /* records of jobs that are over, still to be deleted */
-	bool due; /* a pass is wanted */
+	bool due;               /* a pass is wanted */
 	int resume;
 	int pushes;
 	int unforgotten; /* finished entries that only a higher epoch lets go */
--- a/src/coordination/lease.c
+++ b/src/coordination/lease.c
@@ -9,14 +9,14 @@
 #include "transport/routine.h"
 
 static const struct {
-	double ttl_s;      /* s; a dead leader is missed for at most this long */
-	double renew_s;    /* s; three tries before the lease ends */
-	double drift;      /* share; twice what the platform allows between two clocks */
-	double margin_s;   /* s; for a timer that fires late */
-	double poll_s;     /* s; how often others read who leads, which is also their proof */
-	double retry_s;    /* s; after a refusal */
-	double stagger_s;  /* s a node; so that not all try for the lease at once */
-	double hold_s;     /* s; length of a watch */
+	double ttl_s;       /* s; a dead leader is missed for at most this long */
+	double renew_s;     /* s; three tries before the lease ends */
+	double drift;       /* share; twice what the platform allows between two clocks */
+	double margin_s;    /* s; for a timer that fires late */
+	double poll_s;      /* s; how often others read who leads, which is also their proof */
+	double retry_s;     /* s; after a refusal */
+	double stagger_s;   /* s a node; so that not all try for the lease at once */
+	double hold_s;      /* s; length of a watch */
 	double epoch_gap_s; /* s; least time between two raised epochs */
 } choice = {3.0, 0.8, 0.001, 0.1, 1.0, 0.3, 0.05, 10.0, 4.0};
 
@@ -36,8 +36,8 @@
 	struct control *c = ctx;
 
 	if (strcmp(ch->key, FL_KEY_LEAD) == 0 && ch->value) {
-		c->found = fl_json_str(ch->value, "node", c->leader, sizeof(c->leader)) ==
-			   FL_FIELD_OK;
+		c->found =
+			fl_json_str(ch->value, "node", c->leader, sizeof(c->leader)) == FL_FIELD_OK;
 		fl_json_str(ch->value, "boot", c->boot, sizeof(c->boot));
 		c->lead_rev = ch->rev;
 	} else if (strcmp(ch->key, FL_KEY_EPOCH) == 0 && ch->value) {
@@ -77,7 +77,7 @@
 	if (!n->lease.held)
 		return;
 	fl_info("lease", "%s leads no more (epoch %llu): %s", n->config->node,
-		(unsigned long long)n->lease.epoch, why);
+	        (unsigned long long)n->lease.epoch, why);
 	n->lease.held = false;
 	n->lease.valid_until = 0;
 	fl_signal_wake(&n->control_changed);
@@ -227,8 +227,7 @@
 		} else {
 			if (n->lead.active)
 				fl_leader_end(n);
-			pause = n->kinds_known && n->jobs_known ? seek(n, place)
-								: choice.retry_s;
+			pause = n->kinds_known && n->jobs_known ? seek(n, place) : choice.retry_s;
 		}
 		if (pause > 0 && fl_signal_wait(&n->control_changed, pause) == -ECANCELED)
 			break;
@@ -248,7 +247,7 @@
 		if (!n->lease.held)
 			fl_signal_wake(&n->control_changed);
 	} else if (strcmp(ch->key, FL_KEY_EPOCH) == 0 && ch->value &&
-		   fl_json_count(ch->value, "epoch", &epoch) == FL_FIELD_OK) {
+	           fl_json_count(ch->value, "epoch", &epoch) == FL_FIELD_OK) {
 		if (epoch > n->epoch)
 			n->epoch = epoch;
 	}
@@ -271,7 +270,7 @@
 				n->proof_at = sent;
 		} else {
 			rc = fl_state_follow(&n->state, FL_PREFIX_CONTROL, &rev, choice.hold_s,
-					     on_control, n);
+			                     on_control, n);
 		}
 		if (rc == -ERANGE)
 			rev = 0;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -11,15 +11,15 @@
 #include "transport/routine.h"
 
 static const struct {
-	double retry_s;      /* s between tries at what a node needs before it can serve */
-	double hold_s;       /* s; length of a watch */
-	double relay_s;      /* s for a relayed poll; users wait 2 s for it */
+	double retry_s;       /* s between tries at what a node needs before it can serve */
+	double hold_s;        /* s; length of a watch */
+	double relay_s;       /* s for a relayed poll; users wait 2 s for it */
 	double relay_write_s; /* s for a relayed cancel or submission; users wait 5 s */
-	int later_s;         /* s; Retry-After of a 503 */
-	double down_s;       /* s after a refusal in which the state service counts as down */
-	int peer_conns;      /* connections kept open to each peer */
-	double finals_share; /* share of the memory for final states kept at hand */
-	double user_share;   /* share of all connections that users and workers may hold */
+	int later_s;          /* s; Retry-After of a 503 */
+	double down_s;        /* s after a refusal in which the state service counts as down */
+	int peer_conns;       /* connections kept open to each peer */
+	double finals_share;  /* share of the memory for final states kept at hand */
+	double user_share;    /* share of all connections that users and workers may hold */
 } choice = {0.5, 10.0, 1.2, 2.0, 1, 0.3, 6, 0.1, 0.8};
 
 void fl_refuse(struct fl_response *resp, int status, const char *fmt, ...)
@@ -78,8 +78,7 @@
 }
 
 /* 1: known, and answered; 0: not known; <0: cannot be told now. */
-static int answer_known(struct fl_node *n, const char *ref, bool last_hop,
-			struct fl_response *resp)
+static int answer_known(struct fl_node *n, const char *ref, bool last_hop, struct fl_response *resp)
 {
 	struct fl_job_record rec;
 	uint64_t rev;
@@ -154,7 +153,7 @@
 }
 
 static void submit(struct fl_node *n, const char *body, size_t len, bool last_hop,
-		   struct fl_response *resp)
+                   struct fl_response *resp)
 {
 	cJSON *o = fl_json_parse(body, len);
 	const char *bad, *why;
@@ -201,7 +200,7 @@
 	rc = state_is_down(n) ? -EAGAIN : store_job(n, &run);
 	if (rc == 0) {
 		fl_info("jobs", "%s accepted: %s of %s, %u x %g cpus %g gpus", run.ref,
-			run.job_class, run.owner, run.parts, run.cpus, run.gpus);
+		        run.job_class, run.owner, run.parts, run.cpus, run.gpus);
 		resp->status = 201;
 		resp->body = fl_status_encode(run.ref, FL_PENDING, -1, 0);
 		return;
@@ -247,8 +246,8 @@
 	}
 	if (rec.final) {
 		resp->status = 200;
-		resp->body = fl_status_encode(ref, rec.status,
-					      rec.status == FL_DONE ? rec.parts : 0, 0);
+		resp->body =
+			fl_status_encode(ref, rec.status, rec.status == FL_DONE ? rec.parts : 0, 0);
 		return;
 	}
 	snprintf(key, sizeof(key), FL_PREFIX_PROGRESS "%s/", ref);
@@ -258,7 +257,7 @@
 }
 
 static void relayed(struct fl_node *n, enum fl_user_call call, const char *ref, bool last_hop,
-		    struct fl_response *resp)
+                    struct fl_response *resp)
 {
 	double patience = call == FL_CALL_POLL ? choice.relay_s : choice.relay_write_s;
 	struct fl_reply reply;
@@ -280,7 +279,7 @@
 }
 
 static void poll_or_cancel(struct fl_node *n, enum fl_user_call call, const char *ref,
-			   bool last_hop, struct fl_response *resp)
+                           bool last_hop, struct fl_response *resp)
 {
 	struct fl_final *f;
 
@@ -292,10 +291,10 @@
 	if (f) {
 		resp->status = 200;
 		resp->body = fl_status_encode(ref, (enum fl_status)f->status,
-					      call == FL_CALL_CANCEL ? -1
-					      : f->status == FL_DONE ? (int64_t)f->parts
-								     : 0,
-					      0);
+		                              call == FL_CALL_CANCEL ? -1
+		                              : f->status == FL_DONE ? (int64_t)f->parts
+		                                                     : 0,
+		                              0);
 		return;
 	}
 	if (fl_lease_valid(n) && n->lead.active) {
@@ -309,7 +308,7 @@
 }
 
 void fl_node_user_call(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
-		       size_t len, bool last_hop, struct fl_response *resp)
+                       size_t len, bool last_hop, struct fl_response *resp)
 {
 	switch (call) {
 	case FL_CALL_SUBMIT:
@@ -367,7 +366,7 @@
 		fl_refuse(resp, 421, "not the leader");
 	else
 		fl_node_user_call(n, r.call, r.ref, r.body, r.body ? strlen(r.body) : 0, true,
-				  resp);
+		                  resp);
 	fl_relay_free(&r);
 }
 
@@ -403,8 +402,8 @@
 			if (rc == 0 && !n->books.leading)
 				fl_books_list_end(&n->books, rev);
 		} else {
-			rc = fl_state_follow(&n->state, FL_PREFIX_JOBS, &rev, choice.hold_s,
-					     on_job, n);
+			rc = fl_state_follow(&n->state, FL_PREFIX_JOBS, &rev, choice.hold_s, on_job,
+			                     n);
 		}
 		if (rc == 0 && !n->jobs_known) {
 			n->jobs_known = true;
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -48,8 +48,8 @@
 
 int fl_node_start(const struct fl_config *config);
 /* Answers a user's call here, passing on what only the leader can say. */
-void fl_node_user_call(struct fl_node *n, enum fl_user_call call, const char *ref,
-		       const char *body, size_t len, bool last_hop, struct fl_response *resp);
+void fl_node_user_call(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
+                       size_t len, bool last_hop, struct fl_response *resp);
 /* Fills a response with an error text. */
 void fl_refuse(struct fl_response *resp, int status, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -14,26 +14,27 @@
 #include "transport/routine.h"
 
 static const struct {
-	double round_s;      /* s between two looks at the machines */
-	double list_s;       /* s between two lists */
-	double kinds_s;      /* s between two looks at prices */
-	double refused_s;    /* s for which a refused place is not asked again */
-	double idle_boots;   /* boot times for which an idle machine is kept */
-	double boot_late;    /* boot times after which a booting machine is no longer counted on */
-	double boot_most;    /* boot times after which a booting machine is given up */
+	double round_s;    /* s between two looks at the machines */
+	double list_s;     /* s between two lists */
+	double kinds_s;    /* s between two looks at prices */
+	double refused_s;  /* s for which a refused place is not asked again */
+	double idle_boots; /* boot times for which an idle machine is kept */
+	double boot_late;  /* boot times after which a booting machine is no longer counted on */
+	double boot_most;  /* boot times after which a booting machine is given up */
 	double silent_extra_s; /* s beyond a worker's lease before a silent machine is returned */
-	double mass_share;   /* share of machines silent at once that points at us, not at them */
-	double mass_leases;  /* leases of silence after which they are returned all the same */
-	double soon_boots;   /* boot times within which an ending task's room is waited for */
-	double learn_s;      /* s over which the arrival of services is counted */
-	double reserve_sd;   /* spreads of the arrivals expected while a machine boots, on top */
-	double tombstone_s;  /* s; messages may arrive minutes late */
-	int machines_most;   /* rented in one round */
-	int tries;           /* of one rental that goes unanswered */
+	double mass_share;     /* share of machines silent at once that points at us, not at them */
+	double mass_leases;    /* leases of silence after which they are returned all the same */
+	double soon_boots;     /* boot times within which an ending task's room is waited for */
+	double learn_s;        /* s over which the arrival of services is counted */
+	double reserve_sd;     /* spreads of the arrivals expected while a machine boots, on top */
+	double tombstone_s;    /* s; messages may arrive minutes late */
+	int machines_most;     /* rented in one round */
+	int tries;             /* of one rental that goes unanswered */
 } choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.5, 0.4, 3.0, 0.7, 300.0, 2.0, 900.0, 40, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
-struct virtual {
+struct virtual
+{
 	int kind, zone;
 	bool spot, fresh;
 	double cpus, gpus, ram;
@@ -114,14 +115,15 @@
 			for (int s = 0; s < 2; s++) {
 				double cost;
 
-				if (!(ms->kinds[k].zones >> z & 1) || !kind_fits(&ms->kinds[k], job) ||
-				    !job_allows(job, k, z, s) || !zone_allows(job, placed, z) ||
+				if (!(ms->kinds[k].zones >> z & 1) ||
+				    !kind_fits(&ms->kinds[k], job) || !job_allows(job, k, z, s) ||
+				    !zone_allows(job, placed, z) ||
 				    p->n->provision.refused_until[k][z][s] > p->now)
 					continue;
 				/* Among equal prices, the zone that holds the least. */
 				cost = unit_price(&ms->kinds[k], job, s) *
 				       (1 + 1e-4 * p->zone_machines[z] +
-					(job->apart ? 0.1 * placed[z] : 0));
+				        (job->apart ? 0.1 * placed[z] : 0));
 				if (cost < best_cost) {
 					best_cost = cost;
 					kind = k;
@@ -198,8 +200,7 @@
 		p->zone_machines[m->zone]++;
 		/* Some boot for minutes and a few for ever: what waits must not wait for those. */
 		if (!m->up && !m->deleting && m->n_slots == 0 &&
-		    p->now - m->created <
-			    choice.boot_late * b->machines.kinds[m->kind].ready_s)
+		    p->now - m->created < choice.boot_late * b->machines.kinds[m->kind].ready_s)
 			add_virtual(p, m->kind, m->zone, m->spot, false);
 		for (int k = 0; m->up && k < m->n_slots; k++) {
 			const struct fl_job *job = m->slots[k].job;
@@ -207,7 +208,7 @@
 
 			if (job->kind == FL_SWEEP && t->sight == FL_SEEN_RUNNING &&
 			    job->expected_s - (p->now - t->since) <
-				    choice.soon_boots * b->machines.kinds[m->kind].ready_s)
+			            choice.soon_boots * b->machines.kinds[m->kind].ready_s)
 				p->soon += 1;
 		}
 	}
@@ -228,7 +229,7 @@
 
 /* Room that a service could have at once: free, or held by what it may stop. */
 static uint32_t room_on(const struct fl_node *n, const struct fl_machine *m,
-			const struct fl_job *like)
+                        const struct fl_job *like)
 {
 	const struct fl_kind *k = &n->books.machines.kinds[m->kind];
 	double cpus = k->cpus, gpus = k->gpus, ram = k->ram_gb;
@@ -259,7 +260,7 @@
 	double tasks = 0, need, have = 0;
 	uint32_t none[FL_ZONES_MAX] = {0};
 
-	HASH_ITER(hh, b->jobs, job, tmp) {
+	HASH_ITER (hh, b->jobs, job, tmp) {
 		if (job->kind != FL_STANDING || job->tier < FL_URGENT ||
 		    p->wall - job->submitted > choice.learn_s)
 			continue;
@@ -284,7 +285,7 @@
 			have += fits_in(like, p->at[i].cpus, p->at[i].gpus, p->at[i].ram);
 	while (have < need && rent_for(p, like, none))
 		have += fmax(1, fits_in(like, p->at[p->count - 1].cpus, p->at[p->count - 1].gpus,
-					p->at[p->count - 1].ram));
+		                        p->at[p->count - 1].ram));
 }
 
 static void keep_want(struct fl_provision *pr, const struct plan *p)
@@ -296,8 +297,9 @@
 
 		if (!v->fresh)
 			continue;
-		while (k < pr->n_want && !(pr->want[k].kind == v->kind &&
-					   pr->want[k].zone == v->zone && pr->want[k].spot == v->spot))
+		while (k < pr->n_want &&
+		       !(pr->want[k].kind == v->kind && pr->want[k].zone == v->zone &&
+		         pr->want[k].spot == v->spot))
 			k++;
 		if (k == pr->n_want) {
 			if (k == FL_WANT_MAX)
@@ -310,7 +312,7 @@
 }
 
 void fl_provision_shortage(struct fl_node *n, struct fl_job **jobs, const uint32_t *short_of,
-			   int count)
+                           int count)
 {
 	struct plan p = {.n = n, .now = fl_now(), .wall = fl_wall()};
 
@@ -349,7 +351,7 @@
 
 	/* The epoch of the takeover makes the name this leader's own; it is never used again. */
 	snprintf(name, sizeof(name), "r-%llu-%llu", (unsigned long long)n->lead.first_epoch,
-		 (unsigned long long)++n->provision.rentals);
+	         (unsigned long long)++n->provision.rentals);
 	for (int i = 0; i < choice.tries; i++) {
 		int rc_call = spend_call(n);
 
@@ -370,10 +372,10 @@
 	free(hosts);
 	if (rc == 0)
 		fl_info("cloud", "rented %d of %d %s%s in %s", got, w->count,
-			w->spot ? "reclaimable " : "", kind, zone);
+		        w->spot ? "reclaimable " : "", kind, zone);
 	else
 		fl_info("cloud", "no %s%s in %s: %s", w->spot ? "reclaimable " : "", kind, zone,
-			strerror(-rc));
+		        strerror(-rc));
 	if (rc == -ENOSPC || (rc == 0 && got < w->count))
 		n->provision.refused_until[w->kind][w->zone][w->spot] = fl_now() + choice.refused_s;
 	return rc == -ENOSPC ? 0 : rc;
@@ -403,7 +405,7 @@
 	if (!m)
 		return;
 	fl_books_describe(&n->books, m, fl_kind_find(&n->books.machines, l->kind),
-			  fl_names_find(&n->books.zones, l->site), l->spot, l->endpoint);
+	                  fl_names_find(&n->books.zones, l->site), l->spot, l->endpoint);
 	if (m->id < *seen)
 		m->listed = true;
 	if (l->status == FL_HOST_FAILED && !m->gone)
@@ -467,8 +469,7 @@
 static bool silent(const struct fl_node *n, const struct fl_machine *m, double now, double leases)
 {
 	return (m->up || m->n_slots > 0) &&
-	       now - last_sign(n, m) >
-		       leases * n->config->lease_s + choice.silent_extra_s;
+	       now - last_sign(n, m) > leases * n->config->lease_s + choice.silent_extra_s;
 }
 
 /* Many silent at once point at this node's own links: then it takes much longer to give up. */
--- a/src/coordination/provision.h
+++ b/src/coordination/provision.h
@@ -32,6 +32,6 @@
 void fl_provision_duty(void *node);
 /* What the last pass left without room; `short_of` by job. */
 void fl_provision_shortage(struct fl_node *n, struct fl_job **jobs, const uint32_t *short_of,
-			   int count);
+                           int count);
 
 #endif
--- a/src/coordination/reconcile.c
+++ b/src/coordination/reconcile.c
@@ -9,12 +9,13 @@
 #include "transport/log.h"
 
 static const struct {
-	double refused_s;   /* s before a refused start is tried again */
-	double error_s;     /* s after the first failure of a task, doubled each time */
+	double refused_s;    /* s before a refused start is tried again */
+	double error_s;      /* s after the first failure of a task, doubled each time */
 	double error_most_s; /* s; the most that a failing task waits */
-	int faults;         /* failures on a machine before it is avoided */
-	double avoid_s;     /* s for which it is avoided */
-} choice = {1.0, 2.0, 60.0, 2, 120.0};
+	uint32_t strikes;    /* failures of a job in a row before all of it waits */
+	int faults;          /* failures on a machine before it is avoided */
+	double avoid_s;      /* s for which it is avoided */
+} choice = {1.0, 2.0, 60.0, 4, 2, 120.0};
 
 /* Newer by tenure, then serial; the first report heard is always newer. */
 static bool newer(const struct fl_machine *m, const struct fl_report *r)
@@ -30,7 +31,7 @@
  * arrive: both are ruled out once the worker has seen a higher epoch than they carry.
  */
 static bool absence_proves(const struct fl_node *n, const struct fl_machine *m,
-			   const struct fl_task *t, const struct fl_report *r)
+                           const struct fl_task *t, const struct fl_report *r)
 {
 	if (t->epoch == 0 && r->epoch < n->lead.first_epoch)
 		return false;
@@ -40,7 +41,7 @@
 
 /* A finished entry may be dropped by the worker only when no late launch can restart it. */
 static bool may_forget(const struct fl_node *n, const struct fl_machine *m,
-		       const struct fl_report *r)
+                       const struct fl_report *r)
 {
 	return r->epoch >= n->lead.first_epoch && r->epoch > m->direct_epoch;
 }
@@ -57,31 +58,38 @@
 	return job->snapshot_cost_s + 1;
 }
 
-static void note_error(struct fl_node *n, struct fl_machine *m, struct fl_job *job,
-		       struct fl_task *t, double now)
+static double backoff(uint32_t failures)
+{
+	return fmin(choice.error_most_s, choice.error_s * pow(2, fmin(failures, 16) - 1));
+}
+
+static void note_error(struct fl_machine *m, struct fl_job *job, struct fl_task *t, double now)
 {
 	if (t->fails < 16)
 		t->fails++;
 	job->strikes++;
 	m->faults++;
+	/* A job submitted with a mistake fails everywhere, each of its tasks for the first time. */
+	if (job->strikes > choice.strikes)
+		job->not_before = now + backoff(job->strikes - choice.strikes);
 	/* A job that fails everywhere must not make every machine look faulty. */
 	if (m->faults >= choice.faults && job->strikes <= 2 * (uint32_t)choice.faults)
 		m->avoid_until = now + choice.avoid_s;
-	fl_info("workers", "%s failed on %s (machine faults %d, job strikes %u)", job->ref,
-		m->name, m->faults, job->strikes);
-	(void)n;
+	fl_info("workers", "%s failed on %s (machine faults %d, job strikes %u)", job->ref, m->name,
+	        m->faults, job->strikes);
 }
 
 static void ended(struct fl_node *n, struct fl_machine *m, struct fl_job *job, uint32_t index,
-		  struct fl_task *t, const struct fl_part *p, double now)
+                  struct fl_task *t, const struct fl_part *p, double now)
 {
 	double pause = 0;
 
 	switch (p->exit) {
 	case FL_EXIT_DONE:
 		fl_debug("workers", "%s/%u done on %s after %.1f s of %.1f", job->ref, index,
-			 m->name, now - t->since, job->expected_s);
+		         m->name, now - t->since, job->expected_s);
 		job->strikes = 0;
+		job->not_before = 0;
 		m->faults = 0;
 		fl_task_done(&n->books, job, index);
 		fl_signal_wake(&n->lead.work);
@@ -94,11 +102,11 @@
 	case FL_EXIT_BUSY:
 		pause = choice.refused_s;
 		fl_info("workers", "%s refused %s/%u (%s)", m->name, job->ref, index,
-			p->exit == FL_EXIT_BUSY ? "busy" : "no room");
+		        p->exit == FL_EXIT_BUSY ? "busy" : "no room");
 		break;
 	default:
-		note_error(n, m, job, t, now);
-		pause = fmin(choice.error_most_s, choice.error_s * pow(2, t->fails - 1));
+		note_error(m, job, t, now);
+		pause = backoff(t->fails);
 		break;
 	}
 	fl_task_release(&n->books, job, index, pause > 0 ? now + pause : 0);
@@ -120,7 +128,7 @@
 
 /* An entry that is no current attempt: stop it if it lives, have it forgotten when that is safe. */
 static void stray(struct fl_node *n, struct fl_machine *m, struct fl_job *job,
-		  const struct fl_part *p, const struct fl_report *r, struct fl_orders *orders)
+                  const struct fl_part *p, const struct fl_report *r, struct fl_orders *orders)
 {
 	if (p->state != FL_ENDED) {
 		m->foreign++;
@@ -140,13 +148,12 @@
 	}
 	if (!may_forget(n, m, r))
 		n->lead.unforgotten++;
-	else if (orders &&
-		 (!job || p->index >= job->parts || fl_task_durable(job, p->index)))
+	else if (orders && (!job || p->index >= job->parts || fl_task_durable(job, p->index)))
 		fl_orders_add(orders, FL_FORGET, p->ref, p->index, p->attempt, 0);
 }
 
 static void reported_part(struct fl_node *n, struct fl_machine *m, const struct fl_part *p,
-			  const struct fl_report *r, struct fl_orders *orders, double now)
+                          const struct fl_report *r, struct fl_orders *orders, double now)
 {
 	struct fl_job *job = fl_job_find(&n->books, p->ref);
 	struct fl_task *t = job && p->index < job->parts ? fl_task_peek(job, p->index) : NULL;
@@ -162,10 +169,10 @@
 	}
 	if (t->sight != sight_of(p->state)) {
 		fl_debug("workers", "%s/%u is %s on %s after %.1f s", job->ref, p->index,
-			 sight_of(p->state) == FL_SEEN_RUNNING	 ? "running"
-			 : sight_of(p->state) == FL_SEEN_PULLING ? "pulling"
-								 : "saving",
-			 m->name, now - t->since);
+		         sight_of(p->state) == FL_SEEN_RUNNING   ? "running"
+		         : sight_of(p->state) == FL_SEEN_PULLING ? "pulling"
+		                                                 : "saving",
+		         m->name, now - t->since);
 		fl_task_sighted(job, t, sight_of(p->state), now);
 		fl_signal_wake(&n->lead.work);
 	}
@@ -174,7 +181,7 @@
 }
 
 static bool in_report(const struct fl_report *r, const struct fl_job *job, uint32_t index,
-		      uint32_t attempt)
+                      uint32_t attempt)
 {
 	for (int i = 0; i < r->n_parts; i++)
 		if (r->parts[i].index == index && r->parts[i].attempt == attempt &&
@@ -185,7 +192,7 @@
 
 /* Attempts that should be here and were not reported: launch, or conclude that they are not. */
 static void missing_parts(struct fl_node *n, struct fl_machine *m, const struct fl_report *r,
-			  struct fl_orders *orders, double now)
+                          struct fl_orders *orders, double now)
 {
 	for (int i = m->n_slots - 1; i >= 0; i--) {
 		struct fl_job *job = m->slots[i].job;
@@ -197,7 +204,7 @@
 		if (t->tenure < r->tenure) {
 			/* The session in which it was placed is over, and so is the attempt. */
 			fl_info("workers", "%s/%u lost: %s began a new session", job->ref, index,
-				m->name);
+			        m->name);
 			fl_task_release(&n->books, job, index, 0);
 			fl_signal_wake(&n->lead.work);
 			continue;
@@ -229,7 +236,7 @@
 }
 
 int fl_reconcile_report(struct fl_node *n, const struct fl_report *r, struct fl_orders *orders,
-			bool reached)
+                        bool reached)
 {
 	double now = fl_now();
 	struct fl_machine *m = fl_machine_get(&n->books.machines, r->host, now);
@@ -275,7 +282,7 @@
 
 		if (!wanted(job, t)) {
 			fl_orders_add(orders, FL_KILL, job->ref, index, t->attempt,
-				      wind_down(job, t));
+			              wind_down(job, t));
 		} else if (t->sight == FL_UNSEEN && fl_task_durable(job, index)) {
 			fl_orders_add(orders, FL_LAUNCH, job->ref, index, t->attempt, 0);
 			launched = true;
--- a/src/coordination/reconcile.h
+++ b/src/coordination/reconcile.h
@@ -13,7 +13,7 @@
  * gone.
  */
 int fl_reconcile_report(struct fl_node *n, const struct fl_report *r, struct fl_orders *orders,
-			bool reached);
+                        bool reached);
 /* Orders for a direct command; false if there are none. */
 bool fl_reconcile_direct(struct fl_node *n, struct fl_machine *m, struct fl_orders *orders);
 /* The machine is proven gone: so is all that was on it. */
--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -5,11 +5,11 @@
 #include <string.h>
 
 const struct fl_sched_params fl_sched_defaults = {
-	.alpha = 1, /* a job rises as it waits */
-	.beta = -1, /* short ones first */
+	.alpha = 1,    /* a job rises as it waits */
+	.beta = -1,    /* short ones first */
 	.gamma = -0.5, /* narrow ones first: users count jobs, and wide ones hold many back */
-	.r = 10,    /* one tier is worth ten times the wait */
-	.omega = 4, /* the finite value that did best in the paper's tables */
+	.r = 10,       /* one tier is worth ten times the wait */
+	.omega = 4,    /* the finite value that did best in the paper's tables */
 	.default_est_s = 3600,
 };
 
@@ -45,19 +45,13 @@
 }
 
 /* A service that may stop others goes ahead of them: placing it first saves the stop. */
-static bool ahead(const struct fl_sched_job *j)
-{
-	return j->standing && j->tier >= FL_URGENT;
-}
+static bool ahead(const struct fl_sched_job *j) { return j->standing && j->tier >= FL_URGENT; }
 
 /*
  * What may stop others to get its room goes before those it may stop. Else the room that a stop
  * has freed is taken by the next in the order, and the stops go on without end.
  */
-static int rank_of(const struct fl_sched_job *j)
-{
-	return ahead(j) ? 2 : j->owed;
-}
+static int rank_of(const struct fl_sched_job *j) { return ahead(j) ? 2 : j->owed; }
 
 static int by_priority(const void *pa, const void *pb, void *ctx)
 {
@@ -123,7 +117,7 @@
 }
 
 static int best_machine(const struct fl_sched_in *in, const struct fl_sched_job *j, int zone,
-			const double *ends_by)
+                        const double *ends_by)
 {
 	double best_score = INFINITY;
 	int best = -1;
@@ -197,7 +191,7 @@
 	struct fl_team *t = &p->in->teams[j->team];
 
 	if (!grow((void **)&p->out->starts, p->out->n_starts, &p->out->cap_starts,
-		  sizeof(*p->out->starts))) {
+	          sizeof(*p->out->starts))) {
 		p->failed = true;
 		return;
 	}
@@ -260,7 +254,7 @@
 
 /* May `j` stop `r`? By tier, or to get its team's guarantee from a team beyond its own. */
 static bool may_stop(const struct pass *p, const struct fl_sched_job *j,
-		     const struct fl_sched_run *r, bool owed)
+                     const struct fl_sched_run *r, bool owed)
 {
 	const struct fl_team *t;
 
@@ -287,7 +281,7 @@
 
 /* Cheapest set of victims on one machine that makes room; INFINITY if none does. */
 static double victims_on(struct pass *p, const struct fl_sched_job *j, int machine, bool owed,
-			 int *set, int *n_set)
+                         int *set, int *n_set)
 {
 	const struct fl_sched_machine *m = &p->in->machines[machine];
 	double cpus = m->cpus + p->coming_cpus[machine], gpus = m->gpus + p->coming_gpus[machine];
@@ -315,7 +309,7 @@
 	struct fl_sched_run *r = &p->in->runs[run];
 
 	if (!grow((void **)&p->out->stops, p->out->n_stops, &p->out->cap_stops,
-		  sizeof(*p->out->stops))) {
+	          sizeof(*p->out->stops))) {
 		p->failed = true;
 		return;
 	}
@@ -380,7 +374,7 @@
 	/* An ensemble claims nothing: stops for a part of it would free room it cannot use yet. */
 	while (claimed < j->waiting && !j->whole && !p->failed) {
 		bool owed = j->owed && fl_team_within_guarantee(t, t->used_cpus + j->cpus,
-								t->used_gpus + j->gpus);
+		                                                t->used_gpus + j->gpus);
 
 		if (!team_ok(p->in, j) || (!owed && j->tier == FL_BEST_EFFORT) ||
 		    !claim_one(p, j, owed))
@@ -410,7 +404,7 @@
 
 /* Time until one task of the job fits on this machine, by the estimated ends. */
 static double wait_on(const struct pass *p, const struct fl_sched_job *j, int machine,
-		      struct end *ends)
+                      struct end *ends)
 {
 	const struct fl_sched_machine *m = &p->in->machines[machine];
 	double cpus = m->cpus, gpus = m->gpus, ram = m->ram_gb;
@@ -481,10 +475,10 @@
 			room[3 * r->machine + 2] += r->ram_gb;
 		}
 		for (int i = 0; i < in->n_machines; i++) {
-			uint32_t c = allowed(j, &in->machines[i])
-					     ? tasks_in(j, room[3 * i], room[3 * i + 1],
-							room[3 * i + 2])
-					     : 0;
+			uint32_t c =
+				allowed(j, &in->machines[i])
+					? tasks_in(j, room[3 * i], room[3 * i + 1], room[3 * i + 2])
+					: 0;
 
 			zone[in->machines[i].zone] += c;
 			all += c;
--- a/src/coordination/schedule.h
+++ b/src/coordination/schedule.h
@@ -39,7 +39,7 @@
 struct fl_sched_machine {
 	int kind, zone;
 	bool spot;
-	bool held; /* a service runs here, so that it stays up in any case */
+	bool held;                 /* a service runs here, so that it stays up in any case */
 	double cpus, gpus, ram_gb; /* free */
 	double pull_gb_s;
 	const int *cache; /* FL_CACHE_NOTE bundles */
@@ -65,7 +65,7 @@
 	int n_runs;
 	struct fl_team *teams; /* a copy: used amounts are updated by the pass */
 	int n_teams, n_zones;
-	int resume;                 /* place in the order where the last pass ran out of time */
+	int resume;                  /* place in the order where the last pass ran out of time */
 	bool (*out_of_time)(void *); /* NULL: no budget */
 	void *ctx;
 };
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -95,9 +95,9 @@
 		fl_error("takeover", "%d records cannot be read", l.bad);
 		return -EPROTO;
 	}
-	HASH_ITER(hh, n->books.jobs, job, tmp)
+	HASH_ITER (hh, n->books.jobs, job, tmp)
 		jobs++;
 	fl_info("takeover", "%d jobs, %d progress records, %d left over; took %.2f s", jobs,
-		l.chunks, l.orphans, fl_now() - l.now);
+	        l.chunks, l.orphans, fl_now() - l.now);
 	return 0;
 }
--- a/src/main.c
+++ b/src/main.c
@@ -65,7 +65,7 @@
 	argp_parse(&parser, argc, argv, 0, NULL, &args);
 	if (level && fl_log_set_level(level) != 0) {
 		fprintf(stderr, "fawnlead: LOG_LEVEL: must be error, info or debug, not '%s'\n",
-			level);
+		        level);
 		return EXIT_USAGE;
 	}
 	if (fl_config_read(args.config, &config, error, sizeof(error)) != 0) {
@@ -80,7 +80,7 @@
 	fl_routines_init(ev_default_loop(EVFLAG_AUTO));
 	if (fl_node_start(&config) != 0) {
 		fprintf(stderr, "fawnlead: %s: cannot listen on bind or cluster_listen\n",
-			args.config);
+		        args.config);
 		return 1;
 	}
 	fl_routines_run();
--- a/src/protocol/cloud.c
+++ b/src/protocol/cloud.c
@@ -10,7 +10,7 @@
 } choice = {4.0};
 
 static int call(struct fl_cloud *c, const char *method, const char *path, cJSON *body, cJSON **out,
-		int *status)
+                int *status)
 {
 	char *text = body ? fl_json_take(body) : NULL;
 	struct fl_reply reply;
@@ -48,7 +48,7 @@
 		return -EPROTO;
 	if (k->pull_gb_s <= 0)
 		k->pull_gb_s = 1.0;
-	cJSON_ArrayForEach(s, sites) {
+	cJSON_ArrayForEach (s, sites) {
 		if (!cJSON_IsString(s) || strlen(s->valuestring) >= FL_NAME_MAX ||
 		    k->n_sites == FL_SITES_MAX)
 			return -EPROTO;
@@ -74,7 +74,7 @@
 	*out = calloc((size_t)cJSON_GetArraySize(list), sizeof(**out));
 	if (!*out)
 		goto out;
-	cJSON_ArrayForEach(e, list) {
+	cJSON_ArrayForEach (e, list) {
 		rc = decode_kind(e, &(*out)[*n]);
 		if (rc)
 			break;
@@ -91,7 +91,7 @@
 }
 
 int fl_cloud_rent(struct fl_cloud *c, const char *request, const char *kind, const char *site,
-		  bool spot, int count, char (**hosts)[FL_NAME_MAX], int *n)
+                  bool spot, int count, char (**hosts)[FL_NAME_MAX], int *n)
 {
 	cJSON *body = cJSON_CreateObject(), *o = NULL, *e;
 	const cJSON *list;
@@ -124,7 +124,7 @@
 		rc = -ENOMEM;
 		goto out;
 	}
-	cJSON_ArrayForEach(e, list)
+	cJSON_ArrayForEach (e, list)
 		if (cJSON_IsString(e) && strlen(e->valuestring) < FL_NAME_MAX)
 			strcpy((*hosts)[(*n)++], e->valuestring);
 out:
@@ -156,8 +156,8 @@
 	fl_json_str(e, "Endpoint", l->endpoint, sizeof(l->endpoint));
 	fl_json_amount(e, "AgeS", &l->age_s);
 	l->status = strcmp(status, "failed") == 0    ? FL_HOST_FAILED
-		    : strcmp(status, "booting") == 0 ? FL_HOST_BOOTING
-						     : FL_HOST_RUNNING;
+	            : strcmp(status, "booting") == 0 ? FL_HOST_BOOTING
+	                                             : FL_HOST_RUNNING;
 	return 0;
 }
 
@@ -187,7 +187,7 @@
 		rc = -ENOMEM;
 		goto out;
 	}
-	cJSON_ArrayForEach(e, list) {
+	cJSON_ArrayForEach (e, list) {
 		rc = decode_listed(e, &(*out)[*n]);
 		/* A list read in part would make machines look gone. */
 		if (rc)
--- a/src/protocol/cloud.h
+++ b/src/protocol/cloud.h
@@ -31,7 +31,7 @@
 int fl_cloud_kinds(struct fl_cloud *c, struct fl_host_kind **out, int *n);
 /* -ENOSPC: no capacity. On success `*hosts` holds `*n` names to free. */
 int fl_cloud_rent(struct fl_cloud *c, const char *request, const char *kind, const char *site,
-		  bool spot, int count, char (**hosts)[FL_NAME_MAX], int *n);
+                  bool spot, int count, char (**hosts)[FL_NAME_MAX], int *n);
 int fl_cloud_delete(struct fl_cloud *c, const char *const *hosts, int n);
 int fl_cloud_list(struct fl_cloud *c, const char *from, struct fl_listed **out, int *n, bool *more);
 
--- a/src/protocol/state.c
+++ b/src/protocol/state.c
@@ -45,7 +45,7 @@
 }
 
 static int call(struct fl_state *s, struct fl_http_client *http, const char *method,
-		const char *path, const char *body, double timeout_s, cJSON **out)
+                const char *path, const char *body, double timeout_s, cJSON **out)
 {
 	double sent = fl_now();
 	struct fl_reply reply;
@@ -96,7 +96,7 @@
 {
 	const cJSON *e;
 
-	cJSON_ArrayForEach(e, items) {
+	cJSON_ArrayForEach (e, items) {
 		struct fl_change ch = {0};
 		char key[FL_KEY_MAX];
 
@@ -123,7 +123,7 @@
 		int rc;
 
 		snprintf(path, sizeof(path), "/keys?Prefix=%s%s%s&Page=%d", prefix,
-			 last[0] ? "&From=" : "", last, choice.page);
+		         last[0] ? "&From=" : "", last, choice.page);
 		rc = call(s, &s->http, "GET", path, NULL, 2 * choice.timeout_s, &o);
 		if (!rc) {
 			items = fl_json_get(o, "Items");
@@ -151,7 +151,7 @@
 {
 	const cJSON *e;
 
-	cJSON_ArrayForEach(e, log) {
+	cJSON_ArrayForEach (e, log) {
 		struct fl_change ch = {0};
 		char key[FL_KEY_MAX];
 
@@ -168,7 +168,7 @@
 }
 
 int fl_state_follow(struct fl_state *s, const char *prefix, uint64_t *rev, double hold_s,
-		    fl_change_fn fn, void *ctx)
+                    fl_change_fn fn, void *ctx)
 {
 	char path[FL_KEY_MAX + 128];
 	const cJSON *log;
@@ -177,7 +177,7 @@
 	int rc;
 
 	snprintf(path, sizeof(path), "/follow?Prefix=%s&From=%llu&HoldMs=%d", prefix,
-		 (unsigned long long)*rev, (int)(hold_s * 1000));
+	         (unsigned long long)*rev, (int)(hold_s * 1000));
 	rc = call(s, &s->watch, "GET", path, NULL, hold_s + choice.slack_s, &o);
 	if (!rc) {
 		log = fl_json_get(o, "Log");
--- a/src/protocol/state.h
+++ b/src/protocol/state.h
@@ -33,15 +33,15 @@
 int fl_state_init(struct fl_state *s, const char *addr);
 /* `*value` is owned by the caller. */
 int fl_state_get(struct fl_state *s, const char *key, cJSON **value, uint64_t *rev,
-		 uint64_t *grant);
+                 uint64_t *grant);
 
 typedef void (*fl_change_fn)(void *ctx, const struct fl_change *change);
 /* Every key under the prefix, page by page; `*rev` is the revision of the first page. */
 int fl_state_list(struct fl_state *s, const char *prefix, fl_change_fn fn, void *ctx,
-		  uint64_t *rev);
+                  uint64_t *rev);
 /* One watch; -ERANGE: the revision is too old, list again. */
 int fl_state_follow(struct fl_state *s, const char *prefix, uint64_t *rev, double hold_s,
-		    fl_change_fn fn, void *ctx);
+                    fl_change_fn fn, void *ctx);
 
 void fl_multi_init(struct fl_multi *m);
 void fl_multi_free(struct fl_multi *m);
--- a/src/protocol/users.c
+++ b/src/protocol/users.c
@@ -9,10 +9,7 @@
 
 static const char runs_path[] = "/v2/runs";
 
-const char *fl_status_name(enum fl_status status)
-{
-	return status_names[status];
-}
+const char *fl_status_name(enum fl_status status) { return status_names[status]; }
 
 bool fl_ref_ok(const char *ref)
 {
@@ -57,7 +54,7 @@
 	if (!cJSON_IsArray(v) || cJSON_GetArraySize(v) > FL_KINDS_MAX)
 		return false;
 	out->n_host_kinds = 0;
-	cJSON_ArrayForEach(e, v) {
+	cJSON_ArrayForEach (e, v) {
 		if (!cJSON_IsString(e) || strlen(e->valuestring) >= FL_NAME_MAX)
 			return false;
 		strcpy(out->host_kinds[out->n_host_kinds++], e->valuestring);
--- a/src/protocol/users.h
+++ b/src/protocol/users.h
@@ -33,8 +33,14 @@
 const char *fl_status_name(enum fl_status status);
 
 /* The users' paths, taken apart. */
-enum fl_user_call { FL_CALL_NONE, FL_CALL_SUBMIT, FL_CALL_POLL, FL_CALL_CANCEL, FL_CALL_READY,
-		    FL_CALL_REPORT };
+enum fl_user_call {
+	FL_CALL_NONE,
+	FL_CALL_SUBMIT,
+	FL_CALL_POLL,
+	FL_CALL_CANCEL,
+	FL_CALL_READY,
+	FL_CALL_REPORT
+};
 enum fl_user_call fl_user_route(const char *path, char ref[FL_REF_MAX]);
 
 #endif
--- a/src/protocol/workers.c
+++ b/src/protocol/workers.c
@@ -6,8 +6,8 @@
 #include <string.h>
 
 static const char *const state_names[] = {"pulling", "running", "flushing", "ended", "gathering"};
-static const char *const exit_names[] = {"done", "stopped", "error", "no_room",
-					  "busy", "no_such", "mates_gone", "alone"};
+static const char *const exit_names[] = {"done", "stopped", "error",      "no_room",
+                                         "busy", "no_such", "mates_gone", "alone"};
 static const char *const verb_names[] = {"launch", "kill", "forget"};
 
 static int find(const char *s, const char *const *names, int n)
@@ -73,7 +73,7 @@
 	out->parts = calloc((size_t)n, sizeof(*out->parts));
 	if (!out->parts)
 		return -ENOMEM;
-	cJSON_ArrayForEach(e, list) {
+	cJSON_ArrayForEach (e, list) {
 		int rc = decode_part(e, &out->parts[out->n_parts]);
 
 		if (rc)
@@ -178,7 +178,7 @@
 }
 
 void fl_orders_add(struct fl_orders *o, enum fl_verb verb, const char *ref, uint32_t index,
-		   uint32_t attempt, double wind_down_s)
+                   uint32_t attempt, double wind_down_s)
 {
 	cJSON *e = cJSON_CreateObject();
 
@@ -200,7 +200,7 @@
 }
 
 int fl_worker_command(const char *endpoint, const char *body, double timeout_s,
-		      struct fl_report *out)
+                      struct fl_report *out)
 {
 	struct fl_http_client c;
 	struct fl_reply reply;
--- a/src/protocol/workers.h
+++ b/src/protocol/workers.h
@@ -7,8 +7,17 @@
 
 /* Gathering: an ensemble's task that waits for the others to be there. */
 enum fl_part_state { FL_PULLING, FL_EXECUTING, FL_FLUSHING, FL_ENDED, FL_GATHERING };
-enum fl_exit { FL_EXIT_DONE, FL_EXIT_STOPPED, FL_EXIT_ERROR, FL_EXIT_NO_ROOM, FL_EXIT_BUSY,
-	       FL_EXIT_NO_SUCH, FL_EXIT_MATES_GONE, FL_EXIT_ALONE, FL_EXIT_OTHER };
+enum fl_exit {
+	FL_EXIT_DONE,
+	FL_EXIT_STOPPED,
+	FL_EXIT_ERROR,
+	FL_EXIT_NO_ROOM,
+	FL_EXIT_BUSY,
+	FL_EXIT_NO_SUCH,
+	FL_EXIT_MATES_GONE,
+	FL_EXIT_ALONE,
+	FL_EXIT_OTHER
+};
 
 struct fl_part {
 	char ref[FL_REF_MAX];
@@ -43,13 +52,13 @@
 
 void fl_orders_init(struct fl_orders *o, uint64_t epoch);
 void fl_orders_add(struct fl_orders *o, enum fl_verb verb, const char *ref, uint32_t index,
-		   uint32_t attempt, double wind_down_s);
+                   uint32_t attempt, double wind_down_s);
 void fl_orders_tenure(struct fl_orders *o, uint64_t tenure);
 char *fl_orders_take(struct fl_orders *o);
 
 /* POST /commands: the status, or a negative errno; `out` is filled on 200 and 409. */
 int fl_worker_command(const char *endpoint, const char *body, double timeout_s,
-		      struct fl_report *out);
+                      struct fl_report *out);
 char *fl_steward_encode(const char *node);
 
 #endif
--- a/src/toml.cpp
+++ b/src/toml.cpp
@@ -43,7 +43,7 @@
 			return nullptr;
 		}
 		std::string text((std::istreambuf_iterator<char>(file)),
-				 std::istreambuf_iterator<char>());
+		                 std::istreambuf_iterator<char>());
 
 		if (file.bad()) {
 			snprintf(error, cap, "%s: cannot be read", path);
@@ -52,8 +52,8 @@
 		return convert(toml::parse(text));
 	} catch (const toml::parse_error &e) {
 		snprintf(error, cap, "%s: line %u: %s", path,
-			 static_cast<unsigned>(e.source().begin.line),
-			 std::string(e.description()).c_str());
+		         static_cast<unsigned>(e.source().begin.line),
+		         std::string(e.description()).c_str());
 	} catch (const std::exception &e) {
 		snprintf(error, cap, "%s: %s", path, e.what());
 	}
--- a/src/transport/clock.c
+++ b/src/transport/clock.c
@@ -10,12 +10,6 @@
 	return (double)ts.tv_sec + (double)ts.tv_nsec * 1e-9;
 }
 
-double fl_now(void)
-{
-	return read_clock(CLOCK_MONOTONIC);
-}
+double fl_now(void) { return read_clock(CLOCK_MONOTONIC); }
 
-double fl_wall(void)
-{
-	return read_clock(CLOCK_REALTIME);
-}
+double fl_wall(void) { return read_clock(CLOCK_REALTIME); }
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -57,7 +57,7 @@
 }
 
 int fl_http_call(struct fl_http_client *c, const char *method, const char *path, const char *body,
-		 double timeout_s, struct fl_reply *out)
+                 double timeout_s, struct fl_reply *out)
 {
 	double until = fl_now() + timeout_s;
 	struct fl_buf req = {0};
@@ -68,9 +68,9 @@
 	memset(out, 0, sizeof(*out));
 	fl_msg_init(&msg, HTTP_RESPONSE, choice.max_body);
 	rc = fl_buf_printf(&req,
-			   "%s %s HTTP/1.1\r\nHost: fawnlead\r\nContent-Type: application/json\r\n"
-			   "Content-Length: %zu\r\n\r\n%s",
-			   method, path, body ? strlen(body) : 0, body ? body : "");
+	                   "%s %s HTTP/1.1\r\nHost: fawnlead\r\nContent-Type: application/json\r\n"
+	                   "Content-Length: %zu\r\n\r\n%s",
+	                   method, path, body ? strlen(body) : 0, body ? body : "");
 	if (rc)
 		goto out;
 	do {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -25,6 +25,6 @@
  * time-out the request may still be carried out: the caller must expect that.
  */
 int fl_http_call(struct fl_http_client *c, const char *method, const char *path, const char *body,
-		 double timeout_s, struct fl_reply *out);
+                 double timeout_s, struct fl_reply *out);
 
 #endif
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -36,7 +36,7 @@
 	int rc;
 
 	rc = fl_buf_printf(&out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", r->status,
-			   http_status_str((enum http_status)r->status));
+	                   http_status_str((enum http_status)r->status));
 	if (!rc && r->retry_after_s > 0)
 		rc = fl_buf_printf(&out, "Retry-After: %d\r\n", r->retry_after_s);
 	if (!rc && !keep)
@@ -63,7 +63,7 @@
 	if (rc == -EMSGSIZE || rc == -EPROTO) {
 		resp.status = rc == -EMSGSIZE ? 413 : 400;
 		resp.body = strdup(rc == -EMSGSIZE ? "{\"error\":\"body over 64 KiB\"}"
-						   : "{\"error\":\"not HTTP/1.1\"}");
+		                                   : "{\"error\":\"not HTTP/1.1\"}");
 		send_response(c->fd, &resp, false);
 		/* Let the answer reach a peer that is still writing its body. */
 		shutdown(c->fd, SHUT_WR);
@@ -120,7 +120,7 @@
 
 		if (fd < 0) {
 			int rc = errno == EAGAIN ? fl_wait_io(s->fd, EV_READ, -1)
-						 : fl_sleep(choice.pause_s);
+			                         : fl_sleep(choice.pause_s);
 			if (rc == -ECANCELED)
 				break;
 			continue;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -10,7 +10,7 @@
 	enum http_method method;
 	const char *path;  /* without the query */
 	const char *query; /* what follows the question mark, or an empty string */
-	const char *body; /* NUL-terminated */
+	const char *body;  /* NUL-terminated */
 	size_t body_len;
 };
 
@@ -27,7 +27,7 @@
 
 /* Binds and serves; NULL with errno set when it cannot. */
 struct fl_http_server *fl_http_serve(const char *addr, int max_conns, fl_handler handler,
-				     void *ctx);
+                                     void *ctx);
 int fl_http_server_port(const struct fl_http_server *s);
 
 #endif
--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -20,10 +20,7 @@
 	return -EINVAL;
 }
 
-int fl_log_on(enum fl_log_level level)
-{
-	return level <= level_now;
-}
+int fl_log_on(enum fl_log_level level) { return level <= level_now; }
 
 void fl_log(enum fl_log_level level, const char *area, const char *fmt, ...)
 {
--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -59,10 +59,7 @@
 	size_t main_size;
 } rt;
 
-struct ev_loop *fl_loop(void)
-{
-	return rt.loop;
-}
+struct ev_loop *fl_loop(void) { return rt.loop; }
 
 static char *stack_get(void)
 {
@@ -71,7 +68,7 @@
 	if (rt.spares > 0)
 		return rt.spare[--rt.spares];
 	p = mmap(NULL, choice.stack + choice.guard, PROT_READ | PROT_WRITE,
-		 MAP_PRIVATE | MAP_ANONYMOUS | MAP_NORESERVE, -1, 0);
+	         MAP_PRIVATE | MAP_ANONYMOUS | MAP_NORESERVE, -1, 0);
 	if (p == MAP_FAILED)
 		return NULL;
 	if (mprotect(p, choice.guard, PROT_NONE) != 0) {
@@ -216,10 +213,7 @@
 	ev_prepare_start(loop, &rt.prepare);
 }
 
-void fl_routines_run(void)
-{
-	ev_run(rt.loop, 0);
-}
+void fl_routines_run(void) { ev_run(rt.loop, 0); }
 
 void fl_routines_shutdown(void)
 {
@@ -269,10 +263,7 @@
 		wake(r, -ECANCELED);
 }
 
-bool fl_cancelled(void)
-{
-	return rt.current && rt.current->cancelled;
-}
+bool fl_cancelled(void) { return rt.current && rt.current->cancelled; }
 
 static void arm_timer(struct fl_routine *r, double seconds)
 {
--- a/tests/standins.c
+++ b/tests/standins.c
@@ -102,7 +102,7 @@
 
 	store.holds[at] = store.holds[--store.n_holds];
 	store.rev++;
-	HASH_ITER(hh, store.keys, k, tmp)
+	HASH_ITER (hh, store.keys, k, tmp)
 		if (k->grant == grant)
 			delete_key(k);
 }
@@ -142,7 +142,7 @@
 	char name[200];
 	uint64_t rev, grant;
 
-	cJSON_ArrayForEach(e, fl_json_get(o, "When")) {
+	cJSON_ArrayForEach (e, fl_json_get(o, "When")) {
 		struct key *k;
 
 		fl_json_str(e, "Key", name, sizeof(name));
@@ -151,7 +151,7 @@
 		if ((k ? k->rev : 0) != rev && !failed)
 			failed = e;
 	}
-	cJSON_ArrayForEach(e, fl_json_get(o, "Apply"))
+	cJSON_ArrayForEach (e, fl_json_get(o, "Apply"))
 		if (fl_json_count(e, "Grant", &grant) == FL_FIELD_OK && find_hold(grant) < 0) {
 			say(resp, 400, out);
 			cJSON_Delete(o);
@@ -167,7 +167,7 @@
 		return;
 	}
 	store.rev++;
-	cJSON_ArrayForEach(e, fl_json_get(o, "Apply")) {
+	cJSON_ArrayForEach (e, fl_json_get(o, "Apply")) {
 		if (fl_json_str(e, "Put", name, sizeof(name)) == FL_FIELD_OK) {
 			if (fl_json_count(e, "Grant", &grant) != FL_FIELD_OK)
 				grant = 0;
@@ -216,7 +216,7 @@
 
 	param(query, "Prefix=", prefix, sizeof(prefix));
 	param(query, "From=", from, sizeof(from));
-	HASH_ITER(hh, store.keys, k, tmp)
+	HASH_ITER (hh, store.keys, k, tmp)
 		if (strncmp(k->name, prefix, strlen(prefix)) == 0 && strcmp(k->name, from) > 0)
 			all[n++] = k;
 	qsort(all, (size_t)n, sizeof(*all), by_name);
@@ -262,8 +262,8 @@
 		const struct change *c = &store.log[i];
 
 		if (c->rev > from && strncmp(c->name, prefix, strlen(prefix)) == 0)
-			cJSON_AddItemToArray(log, item(c->value ? "Put" : "Delete", c->name,
-						       c->value, c->rev));
+			cJSON_AddItemToArray(
+				log, item(c->value ? "Put" : "Delete", c->name, c->value, c->rev));
 	}
 	cJSON_AddNumberToObject(o, "LedgerRev", (double)store.rev);
 	cJSON_AddItemToObject(o, "Log", log);
@@ -298,10 +298,7 @@
 	}
 }
 
-static bool nth(int every, unsigned count)
-{
-	return every > 0 && count % (unsigned)every == 0;
-}
+static bool nth(int every, unsigned count) { return every > 0 && count % (unsigned)every == 0; }
 
 static void on_state(void *ctx, const struct fl_request *req, struct fl_response *resp)
 {
@@ -395,8 +392,11 @@
 static char *report_of(struct machine *m)
 {
 	struct fl_part parts[TASKS];
-	struct fl_report r = {.tenure = m->tenure, .serial = ++m->serial, .epoch = m->epoch,
-			      .reclaim_in_s = -1, .parts = parts};
+	struct fl_report r = {.tenure = m->tenure,
+	                      .serial = ++m->serial,
+	                      .epoch = m->epoch,
+	                      .reclaim_in_s = -1,
+	                      .parts = parts};
 
 	strcpy(r.host, m->name);
 	strcpy(r.endpoint, m->addr);
@@ -423,8 +423,7 @@
 
 	for (int m = 0; m < n_machines; m++)
 		for (int i = 0; i < TASKS && !machines[m]->gone; i++)
-			n += machines[m]->at[i].used &&
-			     machines[m]->at[i].part.state != FL_ENDED &&
+			n += machines[m]->at[i].used && machines[m]->at[i].part.state != FL_ENDED &&
 			     strcmp(machines[m]->at[i].part.ref, ref) == 0;
 	return n;
 }
@@ -446,8 +445,8 @@
 	for (int i = 0; i < TASKS; i++) {
 		if (m->at[i].used)
 			continue;
-		m->at[i] = (struct task){*p, fl_now() + standins.run_s, true,
-					 kind_standing(p->ref)};
+		m->at[i] =
+			(struct task){*p, fl_now() + standins.run_s, true, kind_standing(p->ref)};
 		m->at[i].part.state = FL_EXECUTING;
 		standins.launches++;
 		return;
@@ -458,7 +457,7 @@
 {
 	const cJSON *e;
 
-	cJSON_ArrayForEach(e, fl_json_get(o, "Orders")) {
+	cJSON_ArrayForEach (e, fl_json_get(o, "Orders")) {
 		char verb[16] = "", name[48] = "/";
 		struct fl_part p = {0};
 		uint64_t attempt = 0;
@@ -475,8 +474,8 @@
 		for (int i = 0; i < TASKS && strcmp(verb, "launch") != 0; i++) {
 			struct task *t = &m->at[i];
 
-			if (!t->used || t->part.index != p.index ||
-			    t->part.attempt != p.attempt || strcmp(t->part.ref, p.ref) != 0)
+			if (!t->used || t->part.index != p.index || t->part.attempt != p.attempt ||
+			    strcmp(t->part.ref, p.ref) != 0)
 				continue;
 			if (strcmp(verb, "forget") == 0 && t->part.state == FL_ENDED)
 				t->used = false;
@@ -533,7 +532,7 @@
 	cJSON *o;
 
 	snprintf(addr, sizeof(addr), "127.0.0.1:%d",
-		 standins.controller_ports[m->node % standins.n_controllers]);
+	         standins.controller_ports[m->node % standins.n_controllers]);
 	fl_http_client_init(&c, addr, 0);
 	if (fl_http_call(&c, "POST", "/hello", text, 4.0, &reply) != 0) {
 		m->node++;
@@ -615,7 +614,7 @@
 	list = cJSON_AddArrayToObject(o, "Hosts");
 	in = fl_json_parse(req->body, req->body_len);
 	if (strcmp(req->path, "/rentals/delete") == 0) {
-		cJSON_ArrayForEach(e, fl_json_get(in, "Hosts"))
+		cJSON_ArrayForEach (e, fl_json_get(in, "Hosts"))
 			for (int i = 0; i < n_machines; i++)
 				if (strcmp(machines[i]->name, e->valuestring) == 0)
 					machines[i]->gone = true;
@@ -653,9 +652,9 @@
 	servers[n_servers++] = state;
 	servers[n_servers++] = cloud;
 	snprintf(standins.state_addr, sizeof(standins.state_addr), "127.0.0.1:%d",
-		 fl_http_server_port(state));
+	         fl_http_server_port(state));
 	snprintf(standins.cloud_addr, sizeof(standins.cloud_addr), "127.0.0.1:%d",
-		 fl_http_server_port(cloud));
+	         fl_http_server_port(cloud));
 	fl_spawn(hold_duty, NULL);
 }
 
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -70,13 +70,27 @@
 	static const struct {
 		const char *field, *value;
 	} bad[] = {
-		{"Ref", "\"run-12\""},	  {"Ref", "\"job-000412\""}, {"Ref", "7"},
-		{"Ref", "\"run-00041x\""}, {"JobKind", "\"daemon\""}, {"Tier", "\"high\""},
-		{"Parts", "0"},		   {"Parts", "100001"},	      {"Parts", "1.5"},
-		{"Parts", "\"3\""},	   {"Vcpus", "-1"},	      {"RamGb", "1e999"},
-		{"ExpectedS", "true"},	   {"Bundle", "\"\""},	      {"Together", "1"},
-		{"HostKinds", "\"g8\""},   {"HostKinds", "[7]"},      {"DueS", "-3"},
-		{"Owner", ""},		   {"Vcpus", "null"},	      {"Site", "3"},
+		{"Ref", "\"run-12\""},
+		{"Ref", "\"job-000412\""},
+		{"Ref", "7"},
+		{"Ref", "\"run-00041x\""},
+		{"JobKind", "\"daemon\""},
+		{"Tier", "\"high\""},
+		{"Parts", "0"},
+		{"Parts", "100001"},
+		{"Parts", "1.5"},
+		{"Parts", "\"3\""},
+		{"Vcpus", "-1"},
+		{"RamGb", "1e999"},
+		{"ExpectedS", "true"},
+		{"Bundle", "\"\""},
+		{"Together", "1"},
+		{"HostKinds", "\"g8\""},
+		{"HostKinds", "[7]"},
+		{"DueS", "-3"},
+		{"Owner", ""},
+		{"Vcpus", "null"},
+		{"Site", "3"},
 	};
 
 	(void)state;
--- a/tests/test_reconcile.c
+++ b/tests/test_reconcile.c
@@ -52,15 +52,9 @@
 	int calm; /* the larger, the rarer a new epoch: late commands stay dangerous for longer */
 };
 
-static int pick(struct world *w, int n)
-{
-	return (int)gsl_rng_uniform_int(w->g, (unsigned long)n);
-}
+static int pick(struct world *w, int n) { return (int)gsl_rng_uniform_int(w->g, (unsigned long)n); }
 
-static void ref_of(int job, char ref[FL_REF_MAX])
-{
-	snprintf(ref, FL_REF_MAX, "run-%06d", job);
-}
+static void ref_of(int job, char ref[FL_REF_MAX]) { snprintf(ref, FL_REF_MAX, "run-%06d", job); }
 
 static void host_of(int worker, char host[FL_NAME_MAX])
 {
@@ -73,8 +67,11 @@
 {
 	struct worker *k = &w->worker[at];
 	struct fl_part parts[ON_MACHINE];
-	struct fl_report r = {.tenure = k->tenure, .serial = ++k->serial, .epoch = k->epoch,
-			      .reclaim_in_s = -1, .parts = parts};
+	struct fl_report r = {.tenure = k->tenure,
+	                      .serial = ++k->serial,
+	                      .epoch = k->epoch,
+	                      .reclaim_in_s = -1,
+	                      .parts = parts};
 
 	host_of(at, r.host);
 	strcpy(r.endpoint, "127.0.0.1:1");
@@ -116,7 +113,7 @@
 		for (int k = 0; k < W; k++)
 			for (int i = 0; i < ON_MACHINE; i++)
 				live += w->worker[k].at[i].used &&
-					w->worker[k].at[i].part.state != FL_ENDED;
+				        w->worker[k].at[i].part.state != FL_ENDED;
 		assert_in_range(live, 0, 6); /* quota: 6 cpus at most, one each */
 	}
 }
@@ -127,8 +124,7 @@
 
 	for (int i = 0; i < ON_MACHINE; i++)
 		if (k->at[i].used && k->at[i].part.index == p->index &&
-		    k->at[i].part.attempt == p->attempt &&
-		    strcmp(k->at[i].part.ref, p->ref) == 0)
+		    k->at[i].part.attempt == p->attempt && strcmp(k->at[i].part.ref, p->ref) == 0)
 			return;
 	for (int i = 0; i < ON_MACHINE; i++) {
 		if (k->at[i].used)
@@ -154,8 +150,7 @@
 {
 	for (int i = 0; i < ON_MACHINE; i++)
 		if (k->at[i].used && k->at[i].part.index == p->index &&
-		    k->at[i].part.attempt == p->attempt &&
-		    strcmp(k->at[i].part.ref, p->ref) == 0)
+		    k->at[i].part.attempt == p->attempt && strcmp(k->at[i].part.ref, p->ref) == 0)
 			return &k->at[i];
 	return NULL;
 }
@@ -173,7 +168,7 @@
 	if (direct && (fl_json_count(o, "Tenure", &tenure) != FL_FIELD_OK || tenure != k->tenure))
 		goto out;
 	k->epoch = epoch;
-	cJSON_ArrayForEach(e, fl_json_get(o, "Orders")) {
+	cJSON_ArrayForEach (e, fl_json_get(o, "Orders")) {
 		char verb[16], name[48];
 		struct fl_part p = {0};
 		struct entry *x;
@@ -210,8 +205,13 @@
 
 static struct fl_job *add_job(struct world *w, int job)
 {
-	struct fl_run run = {.parts = PARTS, .cpus = 1, .ram_gb = 1, .tier = FL_STANDARD,
-			     .n_host_kinds = -1, .reclaimable = true, .due_s = -1};
+	struct fl_run run = {.parts = PARTS,
+	                     .cpus = 1,
+	                     .ram_gb = 1,
+	                     .tier = FL_STANDARD,
+	                     .n_host_kinds = -1,
+	                     .reclaimable = true,
+	                     .due_s = -1};
 
 	ref_of(job, run.ref);
 	strcpy(run.owner, "team");
@@ -256,8 +256,7 @@
 		if (index >= job->parts || !m->up || m->used_cpus >= 4 ||
 		    !fl_team_within_max(t, t->used_cpus + 1, 0))
 			continue;
-		assert_int_equal(
-			fl_task_place(b, job, index, m, w->node.lease.epoch, fl_now()), 0);
+		assert_int_equal(fl_task_place(b, job, index, m, w->node.lease.epoch, fl_now()), 0);
 	}
 }
 
@@ -451,9 +450,8 @@
 		break;
 	case 15: {
 		/* The scheduler stops something to make room. */
-		struct fl_machine *m = w->node.books.machines.n
-					       ? w->node.books.machines.at[0]
-					       : NULL;
+		struct fl_machine *m =
+			w->node.books.machines.n ? w->node.books.machines.at[0] : NULL;
 
 		if (m && m->n_slots > 0)
 			fl_task_peek(m->slots[0].job, m->slots[0].index)->stop = FL_STOP_PREEMPT;
@@ -467,8 +465,14 @@
 
 static void set_up(struct world *w, unsigned long seed)
 {
-	struct fl_host_kind kind = {.name = "g", .cpus = 4, .ram_gb = 64, .pull_gb_s = 1,
-				    .price = 1, .ready_s = 10, .sites = {"a", "b"}, .n_sites = 2};
+	struct fl_host_kind kind = {.name = "g",
+	                            .cpus = 4,
+	                            .ram_gb = 64,
+	                            .pull_gb_s = 1,
+	                            .price = 1,
+	                            .ready_s = 10,
+	                            .sites = {"a", "b"},
+	                            .n_sites = 2};
 	struct fl_books *b = &w->node.books;
 
 	memset(w, 0, sizeof(*w));
@@ -630,6 +634,43 @@
 	free(w);
 }
 
+/* A job that fails everywhere waits longer and longer, and does not make machines look faulty. */
+static void a_job_that_always_fails_does_not_spin(void **state)
+{
+	struct world *w = malloc(sizeof(*w));
+	struct fl_machine *m;
+	struct fl_books *b;
+	struct fl_job *job;
+	double now = fl_now(), last = 0;
+
+	(void)state;
+	set_up(w, 1);
+	b = &w->node.books;
+	job = fl_job_find(b, "run-000000");
+	for (int i = 0; i < 12; i++) {
+		struct fl_report r = {.tenure = 1, .serial = 1, .epoch = 1, .reclaim_in_s = -1};
+		struct fl_part p = {
+			.index = (uint32_t)(i % PARTS), .state = FL_ENDED, .exit = FL_EXIT_ERROR};
+
+		host_of(60 + i, r.host);
+		m = fl_machine_get(&b->machines, r.host, 0);
+		fl_books_describe(b, m, 0, 0, false, "x");
+		m->tenure = 1;
+		assert_int_equal(fl_task_place(b, job, p.index, m, 1, 0), 0);
+		strcpy(p.ref, job->ref);
+		p.attempt = fl_task_peek(job, p.index)->attempt;
+		r.parts = &p;
+		r.n_parts = 1;
+		assert_int_equal(fl_reconcile_report(&w->node, &r, NULL, true), 0);
+		assert_true(m->avoid_until <= now);
+		assert_true(i < 4 || job->not_before >= last);
+		last = job->not_before;
+	}
+	assert_true(job->not_before > now + 30 && job->not_before < now + 90);
+	tear_down(w);
+	free(w);
+}
+
 /* A dropped tombstone gives its id to another machine, whose tasks must follow. */
 static void swept_machines_leave_the_books_whole(void **state)
 {
@@ -666,6 +707,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_job_that_always_fails_does_not_spin),
 		cmocka_unit_test(swept_machines_leave_the_books_whole),
 		cmocka_unit_test(a_late_word_brings_no_job_back),
 		cmocka_unit_test(final_states_at_hand_are_bounded),
--- a/tests/test_schedule.c
+++ b/tests/test_schedule.c
@@ -182,7 +182,7 @@
 }
 
 static bool m_victim(const struct model *m, const struct fl_sched_job *j,
-		     const struct fl_sched_run *r, bool owed)
+                     const struct fl_sched_run *r, bool owed)
 {
 	const struct fl_team *t = &m->w.teams[r->team];
 
@@ -196,7 +196,7 @@
 
 /* Cost of making room for one task on a machine; the victims in `set`. */
 static double m_clear(const struct model *m, const struct fl_sched_job *j, int machine, bool owed,
-		      bool *set)
+                      bool *set)
 {
 	const struct fl_sched_machine *k = &m->w.machines[machine];
 	double c = k->cpus + m->later[machine][0], g = k->gpus + m->later[machine][1];
@@ -233,7 +233,7 @@
 
 	while (claimed < j->waiting && !j->whole) {
 		bool owed = j->owed &&
-			    m_in_guarantee(t, t->used_cpus + j->cpus, t->used_gpus + j->gpus);
+		            m_in_guarantee(t, t->used_cpus + j->cpus, t->used_gpus + j->gpus);
 		double best_cost = INFINITY;
 		int best = -1;
 
@@ -258,8 +258,8 @@
 			int next = -1;
 
 			for (int i = 0; i < m->w.n_runs; i++)
-				if (set[i] && (next < 0 ||
-					       m->w.runs[i].lost_s < m->w.runs[next].lost_s))
+				if (set[i] &&
+				    (next < 0 || m->w.runs[i].lost_s < m->w.runs[next].lost_s))
 					next = i;
 			if (next < 0)
 				break;
@@ -354,8 +354,8 @@
 			int rank = c->standing && c->tier >= FL_URGENT ? 2 : c->owed ? 1 : 0;
 			double wait = fmax(c->waited_s, 0.1), est = c->est_s > 0 ? c->est_s : 3600;
 			double tier[] = {0.1, 1, 10, 100};
-			double p = wait / 3600 * pow(est / 3600, -1) * (1 / sqrt(c->cpus * c->parts / 32)) *
-				   tier[c->tier];
+			double p = wait / 3600 * pow(est / 3600, -1) *
+			           (1 / sqrt(c->cpus * c->parts / 32)) * tier[c->tier];
 
 			if (looked[i])
 				continue;
@@ -374,9 +374,9 @@
 		first = next_rank == 2;
 		backfill = m->top >= 0 && !first;
 		no_room = m_start(m, next, backfill ? until : NULL,
-				  j->standing && j->est_s <= 0 ? INFINITY
-				  : j->est_s > 0	       ? j->est_s
-							       : 3600);
+		                  j->standing && j->est_s <= 0 ? INFINITY
+		                  : j->est_s > 0               ? j->est_s
+		                                               : 3600);
 		if (!no_room)
 			continue;
 		m->short_of[next] = j->waiting - m_claim(m, next);
@@ -393,10 +393,7 @@
 
 /* ---- random snapshots ---- */
 
-static double pick(gsl_rng *g, int n)
-{
-	return (double)gsl_rng_uniform_int(g, (unsigned long)n);
-}
+static double pick(gsl_rng *g, int n) { return (double)gsl_rng_uniform_int(g, (unsigned long)n); }
 
 static void random_world(gsl_rng *g, struct world *w)
 {
@@ -412,14 +409,14 @@
 		for (int c = 0; c < FL_CACHE_NOTE; c++)
 			w->cache[i][c] = c < 2 ? (int)pick(g, 5) : -1;
 		w->machines[i] = (struct fl_sched_machine){.kind = (int)pick(g, 2),
-							   .zone = (int)pick(g, Z),
-							   .spot = pick(g, 2) > 0,
-							   .held = pick(g, 2) > 0,
-							   .cpus = 16,
-							   .gpus = 4,
-							   .ram_gb = 64,
-							   .pull_gb_s = 0.5,
-							   .cache = w->cache[i]};
+		                                           .zone = (int)pick(g, Z),
+		                                           .spot = pick(g, 2) > 0,
+		                                           .held = pick(g, 2) > 0,
+		                                           .cpus = 16,
+		                                           .gpus = 4,
+		                                           .ram_gb = 64,
+		                                           .pull_gb_s = 0.5,
+		                                           .cache = w->cache[i]};
 	}
 	for (int i = 0; i < R; i++) {
 		struct fl_sched_run r = {0};
@@ -518,7 +515,7 @@
 		assert_int_equal(out.top, m->top);
 		if (m->top >= 0)
 			assert_true(out.window_s == m->window ||
-				    fabs(out.window_s - m->window) < 1e-6);
+			            fabs(out.window_s - m->window) < 1e-6);
 		for (int i = 0; i < w->n_jobs; i++)
 			assert_int_equal(out.short_of[i], m->short_of[i]);
 		starts += out.n_starts;
@@ -539,22 +536,32 @@
 
 static struct fl_sched_job plain_job(double cpus, uint32_t waiting, double est, double waited)
 {
-	return (struct fl_sched_job){.tier = FL_STANDARD, .cpus = cpus, .ram_gb = 1,
-				     .parts = waiting, .waiting = waiting, .est_s = est,
-				     .waited_s = waited, .kinds = 1, .site = -1,
-				     .window_left = -1};
+	return (struct fl_sched_job){.tier = FL_STANDARD,
+	                             .cpus = cpus,
+	                             .ram_gb = 1,
+	                             .parts = waiting,
+	                             .waiting = waiting,
+	                             .est_s = est,
+	                             .waited_s = waited,
+	                             .kinds = 1,
+	                             .site = -1,
+	                             .window_left = -1};
 }
 
 static struct fl_sched_machine plain_machine(double cpus)
 {
-	return (struct fl_sched_machine){.cpus = cpus, .ram_gb = 64, .pull_gb_s = 1,
-					 .cache = no_cache};
+	return (struct fl_sched_machine){
+		.cpus = cpus, .ram_gb = 64, .pull_gb_s = 1, .cache = no_cache};
 }
 
 static struct fl_sched_run plain_run(int machine, double cpus, double left)
 {
-	return (struct fl_sched_run){.machine = machine, .tier = FL_STANDARD, .movable = true,
-				     .cpus = cpus, .ram_gb = 1, .left_s = left};
+	return (struct fl_sched_run){.machine = machine,
+	                             .tier = FL_STANDARD,
+	                             .movable = true,
+	                             .cpus = cpus,
+	                             .ram_gb = 1,
+	                             .left_s = left};
 }
 
 /* Two halves free in 10 s on two machines; a whole machine only in 100 s. */
@@ -675,11 +682,18 @@
 	w.machines[0] = plain_machine(32);
 	w.runs[0] = plain_run(0, 60, 1000);
 	do {
-		struct fl_sched_in in = {.params = &fl_sched_defaults, .jobs = w.jobs,
-					 .n_jobs = w.n_jobs, .machines = w.machines,
-					 .n_machines = 1, .runs = w.runs, .n_runs = 1,
-					 .teams = w.teams, .n_teams = T, .n_zones = Z,
-					 .resume = resume, .out_of_time = spent};
+		struct fl_sched_in in = {.params = &fl_sched_defaults,
+		                         .jobs = w.jobs,
+		                         .n_jobs = w.n_jobs,
+		                         .machines = w.machines,
+		                         .n_machines = 1,
+		                         .runs = w.runs,
+		                         .n_runs = 1,
+		                         .teams = w.teams,
+		                         .n_teams = T,
+		                         .n_zones = Z,
+		                         .resume = resume,
+		                         .out_of_time = spent};
 		struct fl_sched_out out;
 
 		allowance = 3;
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -57,25 +57,25 @@
 	f = fopen(run.file[node], "w");
 	assert_non_null(f);
 	fprintf(f,
-		"node = \"n%d\"\nlocation = \"a\"\nbind = \"127.0.0.1:%d\"\n"
-		"cluster_listen = \"127.0.0.1:%d\"\n",
-		node, run.port[node], run.peer_port[node]);
+	        "node = \"n%d\"\nlocation = \"a\"\nbind = \"127.0.0.1:%d\"\n"
+	        "cluster_listen = \"127.0.0.1:%d\"\n",
+	        node, run.port[node], run.peer_port[node]);
 	for (int i = 0; i < NODES; i++)
 		if (i != node)
 			fprintf(f,
-				"[[known]]\nnode = \"n%d\"\nlocation = \"a\"\n"
-				"addr = \"127.0.0.1:%d\"\n",
-				i, run.peer_port[i]);
+			        "[[known]]\nnode = \"n%d\"\nlocation = \"a\"\n"
+			        "addr = \"127.0.0.1:%d\"\n",
+			        i, run.peer_port[i]);
 	fprintf(f,
-		"[external]\ncloud = \"%s\"\nstate = \"%s\"\n"
-		"[settings]\ninitial_size = 3\nzones = [\"a\"]\nclock_off_ms = 5.0\n"
-		"[[settings.teams]]\nname = \"t\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\n"
-		"gpus_max = 0.0\n"
-		"[settings.workers]\nreport_s = 0.25\nlease_s = 8.0\ncancel_s = 30.0\n"
-		"[settings.state]\nrps = 500.0\nwrite_rps = 200.0\nvalue_kb = 4.0\ntxn_ops = 8\n"
-		"[settings.cloud]\nrps = 50.0\nlist_lag_s = 0.5\n"
-		"[settings.resources]\ncore_share = 1.0\nram_mb = 256.0\nmax_connections = 400\n",
-		standins.cloud_addr, standins.state_addr);
+	        "[external]\ncloud = \"%s\"\nstate = \"%s\"\n"
+	        "[settings]\ninitial_size = 3\nzones = [\"a\"]\nclock_off_ms = 5.0\n"
+	        "[[settings.teams]]\nname = \"t\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\n"
+	        "gpus_max = 0.0\n"
+	        "[settings.workers]\nreport_s = 0.25\nlease_s = 8.0\ncancel_s = 30.0\n"
+	        "[settings.state]\nrps = 500.0\nwrite_rps = 200.0\nvalue_kb = 4.0\ntxn_ops = 8\n"
+	        "[settings.cloud]\nrps = 50.0\nlist_lag_s = 0.5\n"
+	        "[settings.resources]\ncore_share = 1.0\nram_mb = 256.0\nmax_connections = 400\n",
+	        standins.cloud_addr, standins.state_addr);
 	fclose(f);
 }
 
@@ -89,7 +89,7 @@
 
 /* Asks a living node; the status, with the body in `text`. */
 static int ask(int first, const char *method, const char *path, const char *body, char *text,
-	       size_t cap)
+               size_t cap)
 {
 	for (int i = 0; i < NODES; i++) {
 		int node = (first + i) % NODES;
@@ -112,7 +112,8 @@
 
 	snprintf(path, sizeof(path), "/v2/runs/%s", ref);
 	while (fl_now() < until) {
-		if (ask(first++, "GET", path, NULL, text, sizeof(text)) == 200 && strstr(text, want))
+		if (ask(first++, "GET", path, NULL, text, sizeof(text)) == 200 &&
+		    strstr(text, want))
 			return true;
 		fl_sleep(0.1);
 	}
@@ -125,11 +126,11 @@
 	double until = fl_now() + PATIENCE_S;
 
 	snprintf(body, sizeof(body),
-		 "{\"Ref\":\"%s\",\"JobClass\":\"c\",\"Owner\":\"t\",\"JobKind\":\"%s\","
-		 "\"Tier\":\"standard\",\"Parts\":%d,\"Vcpus\":1,\"Accelerators\":0,\"RamGb\":1,"
-		 "\"Bundle\":\"img\",\"ImageGb\":1,\"Together\":false,\"Apart\":false,"
-		 "\"Reclaimable\":true,\"ExpectedS\":1,\"SnapshotEveryS\":0,\"SnapshotCostS\":0}",
-		 ref, kind, parts);
+	         "{\"Ref\":\"%s\",\"JobClass\":\"c\",\"Owner\":\"t\",\"JobKind\":\"%s\","
+	         "\"Tier\":\"standard\",\"Parts\":%d,\"Vcpus\":1,\"Accelerators\":0,\"RamGb\":1,"
+	         "\"Bundle\":\"img\",\"ImageGb\":1,\"Together\":false,\"Apart\":false,"
+	         "\"Reclaimable\":true,\"ExpectedS\":1,\"SnapshotEveryS\":0,\"SnapshotCostS\":0}",
+	         ref, kind, parts);
 	while (fl_now() < until) {
 		int status = ask(first++, "POST", "/v2/runs", body, text, sizeof(text));
 
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -94,9 +94,8 @@
 	(void)arg;
 	assert_int_equal(fl_http_client_init(&c, seen.addr, 2), 0);
 	for (int i = 0; i < 3; i++) {
-		assert_int_equal(fl_http_call(&c, "POST", i == 1 ? "/close" : "/x", "{\"a\":1}", 5,
-					      &r),
-				 0);
+		assert_int_equal(
+			fl_http_call(&c, "POST", i == 1 ? "/close" : "/x", "{\"a\":1}", 5, &r), 0);
 		assert_int_equal(r.status, 200);
 		assert_string_equal(r.body.data, "{\"a\":1}");
 		fl_buf_free(&r.body);
@@ -174,7 +173,7 @@
 	assert_true(!old || at);
 	if (at)
 		fprintf(f, "%.*s%s%s", (int)(at - good_settings), good_settings, new,
-			at + strlen(old));
+		        at + strlen(old));
 	else
 		fputs(good_settings, f);
 	fclose(f);
