--- a/src/bookkeeping/machines.c
+++ b/src/bookkeeping/machines.c
@@ -127,14 +127,6 @@
 	m->cache[0] = bundle;
 }
 
-bool fl_machine_has_bundle(const struct fl_machine *m, int bundle)
-{
-	for (int i = 0; i < FL_CACHE_NOTE; i++)
-		if (m->cache[i] == bundle)
-			return true;
-	return false;
-}
-
 struct fl_machine *fl_machine_drop(struct fl_machines *ms, struct fl_machine *m)
 {
 	struct fl_machine *last = ms->at[--ms->n];
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -319,7 +319,6 @@
 		if (rc == 0) {
 			if (reply.status == 200 &&
 			    fl_gossip_decode(reply.body.data, reply.body.len, &theirs) == 0) {
-				p->said = theirs;
 				hear(n, &theirs, sent);
 			}
 			fl_buf_free(&reply.body);
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -189,8 +189,6 @@
 		return -ENOMEM;
 	s->in.params = &fl_sched_defaults;
 	memcpy(s->in.teams, b->teams.at, sizeof(b->teams.at));
-	s->in.n_teams = b->teams.n;
-	s->in.n_zones = b->zones.n;
 	mark_owed(b, s->jobs);
 	HASH_ITER (hh, b->jobs, job, tmp)
 		if (!job->aborted && job->n_waiting > 0)
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -18,7 +18,6 @@
 	struct fl_node *owner;
 	char name[FL_NAME_MAX];
 	struct fl_http_client http;
-	struct fl_gossip said;
 	char location[FL_NAME_MAX];
 	double up_since; /* steady; while up */
 	bool up;
--- a/src/coordination/schedule.h
+++ b/src/coordination/schedule.h
@@ -63,8 +63,7 @@
 	int n_machines;
 	struct fl_sched_run *runs;
 	int n_runs;
-	struct fl_team *teams; /* a copy: used amounts are updated by the pass */
-	int n_teams, n_zones;
+	struct fl_team *teams;       /* a copy: used amounts are updated by the pass */
 	int resume;                  /* place in the order where the last pass ran out of time */
 	bool (*out_of_time)(void *); /* NULL: no budget */
 	void *ctx;
--- a/tests/test_schedule.c
+++ b/tests/test_schedule.c
@@ -480,8 +480,6 @@
 		.runs = w->runs,
 		.n_runs = w->n_runs,
 		.teams = w->teams,
-		.n_teams = T,
-		.n_zones = Z,
 	};
 
 	assert_int_equal(fl_schedule(&in, out), 0);
@@ -690,8 +688,6 @@
 		                         .runs = w.runs,
 		                         .n_runs = 1,
 		                         .teams = w.teams,
-		                         .n_teams = T,
-		                         .n_zones = Z,
 		                         .resume = resume,
 		                         .out_of_time = spent};
 		struct fl_sched_out out;
