A takeover's list marks jobs by itself, whatever a watch says meanwhile

Found by reading: a watch that lists anew during a takeover shared its marks, so that the leader could drop a live job or keep one that was over. The test fails without it.

--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -149,7 +149,11 @@
 	struct fl_job *job = fl_job_find(b, ref);
 	struct fl_job_record rec;
 
-	if (job)
+	/*
+	 * A leader's marks are its takeover's alone: a watch that lists anew or lags meanwhile must
+	 * neither keep what the takeover's list no longer holds nor hide what it does.
+	 */
+	if (job && !b->leading)
 		job->listed = true;
 	if (job && !value && !b->leading && rev > job->rev)
 		fl_job_drop(b, job);
@@ -168,7 +172,7 @@
 	if (!rec.final) {
 		if (!job)
 			job = fl_job_add(b, &rec.run, rec.submitted, rev);
-		if (job)
+		if (job && !b->leading)
 			job->listed = true;
 		return job;
 	}
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -397,7 +397,8 @@
 		int rc;
 
 		if (rev == 0) {
-			fl_books_list_begin(&n->books);
+			if (!n->books.leading)
+				fl_books_list_begin(&n->books);
 			rc = fl_state_list(&n->state, FL_PREFIX_JOBS, on_job, n, &rev);
 			if (rc == 0 && !n->books.leading)
 				fl_books_list_end(&n->books, rev);
--- a/tests/test_reconcile.c
+++ b/tests/test_reconcile.c
@@ -596,6 +596,13 @@
 	b->list_rev = 100;
 	assert_null(fl_books_apply(b, run.ref, v, 90));
 	assert_non_null(fl_books_apply(b, run.ref, v, 101));
+	/* Nor does a late word heard while the takeover lists: only its own list marks jobs. */
+	b->list_rev = 0;
+	fl_books_list_begin(b);
+	assert_non_null(fl_books_apply(b, run.ref, v, 102));
+	fl_books_list_end(b, 103);
+	assert_null(fl_job_find(b, run.ref));
+	assert_non_null(fl_books_apply(b, run.ref, v, 104));
 	/* A follower drops what is deleted, and what a new list no longer holds. */
 	b->leading = false;
 	assert_null(fl_books_apply(b, run.ref, NULL, 110));
