One count of how many tasks fit, and one walk over a finished job's records

The count stood four times, in the pass and in provisioning; the surplus records of a large job were counted forwards and found again backwards.

--- a/src/bookkeeping/machines.c
+++ b/src/bookkeeping/machines.c
@@ -1,5 +1,6 @@
 #include "bookkeeping/machines.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -127,6 +128,20 @@
 	m->cache[0] = bundle;
 }
 
+uint32_t fl_tasks_fit(struct fl_amounts need, struct fl_amounts room)
+{
+	const double slack = 1e-6; /* amounts are sums of decimal fractions */
+	double n = 1e6;
+
+	if (need.cpus > 0)
+		n = fmin(n, floor(room.cpus / need.cpus + slack));
+	if (need.gpus > 0)
+		n = fmin(n, floor(room.gpus / need.gpus + slack));
+	if (need.ram_gb > 0)
+		n = fmin(n, floor(room.ram_gb / need.ram_gb + slack));
+	return n > 0 ? (uint32_t)n : 0;
+}
+
 struct fl_machine *fl_machine_drop(struct fl_machines *ms, struct fl_machine *m)
 {
 	struct fl_machine *last = ms->at[--ms->n];
--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -71,6 +71,11 @@
 int fl_machine_add_slot(struct fl_machine *m, struct fl_job *job, uint32_t index);
 void fl_machine_drop_slot(struct fl_machine *m, const struct fl_job *job, uint32_t index);
 void fl_machine_note_bundle(struct fl_machine *m, int bundle);
+/* How many tasks of `need` there is room for in `room`: cpus, accelerators, GB of memory each. */
+struct fl_amounts {
+	double cpus, gpus, ram_gb;
+};
+uint32_t fl_tasks_fit(struct fl_amounts need, struct fl_amounts room);
 /* Forgets a machine with no slots; the last one takes its id. Returns that one, or NULL. */
 struct fl_machine *fl_machine_drop(struct fl_machines *ms, struct fl_machine *m);
 void fl_machines_clear(struct fl_machines *ms);
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -538,6 +538,8 @@
 	return job->aborted ? job->n_placed == 0 : job->n_done == job->parts;
 }
 
+static bool has_record(const struct fl_chunk *c) { return c && (c->rev != 0 || c->rev_unknown); }
+
 /* Writes the final state and removes the progress records, all at once if they are few. */
 static int finalise(struct fl_node *n, struct fl_job *job)
 {
@@ -546,7 +548,8 @@
 	char key[FL_KEY_MAX], failed[FL_KEY_MAX];
 	uint64_t rev;
 	bool done = false;
-	int rc, left = 0;
+	uint32_t rest = 0; /* the first chunk whose record does not go with this write */
+	int rc;
 
 	if (job->unsure && (rc = reread_job(n, job->ref, &done, &status)) != 0)
 		return rc;
@@ -565,16 +568,11 @@
 	fl_multi_delete(&m, key);
 	fl_key_final(key, job->ref);
 	fl_multi_put(&m, key, fl_job_record_final(status, job->parts, NULL, 0), 0);
-	for (uint32_t i = 0; i < job->n_chunks; i++) {
-		struct fl_chunk *c = fl_job_chunk(job, i);
-
-		if (!c || (c->rev == 0 && !c->rev_unknown))
+	for (; rest < job->n_chunks && m.n_apply < n->config->txn_ops; rest++) {
+		if (!has_record(fl_job_chunk(job, rest)))
 			continue;
-		fl_key_chunk(key, job->ref, i);
-		if (m.n_apply < n->config->txn_ops)
-			fl_multi_delete(&m, key);
-		else
-			left++;
+		fl_key_chunk(key, job->ref, rest);
+		fl_multi_delete(&m, key);
 	}
 	rc = await_budget(n, m.n_apply);
 	if (rc || !leading(n)) {
@@ -584,14 +582,11 @@
 	job->finishing = true;
 	rc = fl_state_multi(&n->state, &m, &rev, failed);
 	if (rc == 0) {
-		for (uint32_t i = job->n_chunks; i-- > 0 && left > 0;) {
-			const struct fl_chunk *c = fl_job_chunk(job, i);
-
-			if (!c || (c->rev == 0 && !c->rev_unknown))
+		for (; rest < job->n_chunks; rest++) {
+			if (!has_record(fl_job_chunk(job, rest)))
 				continue;
-			fl_key_chunk(key, job->ref, i);
+			fl_key_chunk(key, job->ref, rest);
 			fl_leader_discard(n, key);
-			left--;
 		}
 		fl_info("jobs", "%s is %s", job->ref, fl_status_name(status));
 		fl_job_finalise(&n->books, job, status);
--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -88,18 +88,18 @@
 	       k->ram_gb + 1e-6 >= job->ram_gb;
 }
 
+static uint32_t tasks_fit(const struct fl_job *job, double cpus, double gpus, double ram)
+{
+	return fl_tasks_fit((struct fl_amounts){job->cpus, job->gpus, job->ram_gb},
+	                    (struct fl_amounts){cpus, gpus, ram});
+}
+
 /* Price a second of one task's share of the machine. */
 static double unit_price(const struct fl_kind *k, const struct fl_job *job, bool spot)
 {
-	double n = 1e9;
-
-	if (job->cpus > 0)
-		n = fmin(n, floor(k->cpus / job->cpus + 1e-6));
-	if (job->gpus > 0)
-		n = fmin(n, floor(k->gpus / job->gpus + 1e-6));
-	if (job->ram_gb > 0)
-		n = fmin(n, floor(k->ram_gb / job->ram_gb + 1e-6));
-	return (spot ? k->spot_price : k->price) / fmax(1, fmin(n, 1e6));
+	uint32_t n = tasks_fit(job, k->cpus, k->gpus, k->ram_gb);
+
+	return (spot ? k->spot_price : k->price) / (n > 0 ? n : 1);
 }
 
 static struct virtual *rent_for(struct plan *p, const struct fl_job *job, const uint32_t *placed)
@@ -214,19 +214,6 @@
 	}
 }
 
-static uint32_t fits_in(const struct fl_job *job, double cpus, double gpus, double ram)
-{
-	double n = 1e6;
-
-	if (job->cpus > 0)
-		n = fmin(n, floor(cpus / job->cpus + 1e-6));
-	if (job->gpus > 0)
-		n = fmin(n, floor(gpus / job->gpus + 1e-6));
-	if (job->ram_gb > 0)
-		n = fmin(n, floor(ram / job->ram_gb + 1e-6));
-	return n > 0 ? (uint32_t)n : 0;
-}
-
 /* Room that a service could have at once: free, or held by what it may stop. */
 static uint32_t room_on(const struct fl_node *n, const struct fl_machine *m,
                         const struct fl_job *like)
@@ -245,7 +232,7 @@
 		gpus -= job->gpus;
 		ram -= job->ram_gb;
 	}
-	return fits_in(like, cpus, gpus, ram);
+	return tasks_fit(like, cpus, gpus, ram);
 }
 
 /*
@@ -282,10 +269,10 @@
 	p->n->provision.spare = (int)(have - need);
 	for (int i = 0; i < p->count; i++)
 		if (!p->at[i].spot)
-			have += fits_in(like, p->at[i].cpus, p->at[i].gpus, p->at[i].ram);
+			have += tasks_fit(like, p->at[i].cpus, p->at[i].gpus, p->at[i].ram);
 	while (have < need && rent_for(p, like, none))
-		have += fmax(1, fits_in(like, p->at[p->count - 1].cpus, p->at[p->count - 1].gpus,
-		                        p->at[p->count - 1].ram));
+		have += fmax(1, tasks_fit(like, p->at[p->count - 1].cpus, p->at[p->count - 1].gpus,
+		                          p->at[p->count - 1].ram));
 }
 
 static void keep_want(struct fl_provision *pr, const struct plan *p)
--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -138,6 +138,15 @@
 	return best;
 }
 
+static uint32_t tasks_in(const struct fl_sched_job *j, double cpus, double gpus, double ram)
+{
+	/* Promised room can make an amount negative that the job itself needs none of. */
+	if (!fits(j, cpus, gpus, ram))
+		return 0;
+	return fl_tasks_fit((struct fl_amounts){j->cpus, j->gpus, j->ram_gb},
+	                    (struct fl_amounts){cpus, gpus, ram});
+}
+
 /* A job that wants one zone and has none yet takes the one where most of it fits. */
 static int pick_zone(const struct fl_sched_in *in, const struct fl_sched_job *j)
 {
@@ -151,17 +160,9 @@
 			return z;
 	for (int i = 0; i < in->n_machines; i++) {
 		const struct fl_sched_machine *m = &in->machines[i];
-		double n = 1e9;
 
-		if (!allowed(j, m) || !fits(j, m->cpus, m->gpus, m->ram_gb))
-			continue;
-		if (j->cpus > 0)
-			n = fmin(n, floor(m->cpus / j->cpus + choice.eps));
-		if (j->gpus > 0)
-			n = fmin(n, floor(m->gpus / j->gpus + choice.eps));
-		if (j->ram_gb > 0)
-			n = fmin(n, floor(m->ram_gb / j->ram_gb + choice.eps));
-		room[m->zone] += n;
+		if (allowed(j, m))
+			room[m->zone] += tasks_in(j, m->cpus, m->gpus, m->ram_gb);
 	}
 	for (int z = 0; z < FL_ZONES_MAX; z++)
 		if (room[z] > 0 && (best < 0 || room[z] > room[best]))
@@ -428,22 +429,6 @@
 	return INFINITY;
 }
 
-static uint32_t tasks_in(const struct fl_sched_job *j, double cpus, double gpus, double ram)
-{
-	double n = j->waiting;
-
-	/* Promised room can make an amount negative that the job itself needs none of. */
-	if (!fits(j, cpus, gpus, ram))
-		return 0;
-	if (j->cpus > 0)
-		n = fmin(n, floor(cpus / j->cpus + choice.eps));
-	if (j->gpus > 0)
-		n = fmin(n, floor(gpus / j->gpus + choice.eps));
-	if (j->ram_gb > 0)
-		n = fmin(n, floor(ram / j->ram_gb + choice.eps));
-	return n > 0 ? (uint32_t)n : 0;
-}
-
 /* Time until a whole ensemble fits, counted in tasks that each machine can really hold. */
 static double wait_whole(const struct pass *p, const struct fl_sched_job *j, struct end *ends)
 {
