--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -30,7 +30,7 @@
 	double tombstone_s;    /* s; messages may arrive minutes late */
 	int machines_most;     /* rented in one round */
 	int tries;             /* of one rental that goes unanswered */
-} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.5, 0.4, 3.0, 0.7, 300.0, 2.0, 900.0, 40, 3};
+} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.5, 0.4, 3.0, 0.7, 300.0, 2.0, 900.0, 400, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
 struct virtual
@@ -284,17 +284,17 @@
 
 		if (!v->fresh)
 			continue;
+		/* A rental that is full already: the rest goes into another. */
 		while (k < pr->n_want &&
 		       !(pr->want[k].kind == v->kind && pr->want[k].zone == v->zone &&
-		         pr->want[k].spot == v->spot))
+		         pr->want[k].spot == v->spot && pr->want[k].count < FL_RENT_MAX))
 			k++;
 		if (k == pr->n_want) {
 			if (k == FL_WANT_MAX)
 				continue;
 			pr->want[pr->n_want++] = (struct fl_want){v->kind, v->zone, 0, v->spot};
 		}
-		if (pr->want[k].count < FL_RENT_MAX)
-			pr->want[k].count++;
+		pr->want[k].count++;
 	}
 }
 
@@ -556,7 +556,7 @@
 
 	memset(&n->provision, 0, sizeof(n->provision));
 	n->provision.kinds_at = now;
-	fl_budget_init(&n->provision.calls, n->config->cloud_rps * 0.8, n->config->cloud_rps, now);
+	fl_budget_init(&n->provision.calls, n->config->cloud_rps * 0.8, 2 * n->config->cloud_rps * 0.8, now);
 }
 
 void fl_provision_duty(void *arg)
