--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -27,6 +27,8 @@
 	struct fl_sched_out *out;
 	int *order, *rank;
 	double *priority;
+	/* The runs of machine i are run_of[first[i]] up to run_of[first[i + 1]]. */
+	int *first, *run_of;
 	/* Room that stops under way will free and that is not promised yet, per machine. */
 	double *coming_cpus, *coming_gpus, *coming_ram;
 	bool failed;
@@ -289,9 +291,9 @@
 	double ram = m->ram_gb + p->coming_ram[machine], cost = 0;
 	int n = 0, used = 0;
 
-	for (int i = 0; i < p->in->n_runs; i++)
-		if (p->in->runs[i].machine == machine && may_stop(p, j, &p->in->runs[i], owed))
-			set[n++] = i;
+	for (int k = p->first[machine]; k < p->first[machine + 1]; k++)
+		if (may_stop(p, j, &p->in->runs[p->run_of[k]], owed))
+			set[n++] = p->run_of[k];
 	qsort_r(set, (size_t)n, sizeof(*set), by_loss, p->in);
 	while (used < n && !fits(j, cpus, gpus, ram)) {
 		const struct fl_sched_run *r = &p->in->runs[set[used++]];
@@ -413,9 +415,9 @@
 
 	if (fits(j, cpus, gpus, ram))
 		return 0;
-	for (int i = 0; i < p->in->n_runs; i++)
-		if (p->in->runs[i].machine == machine && p->in->runs[i].left_s < INFINITY)
-			ends[n++] = (struct end){p->in->runs[i].left_s, i};
+	for (int k = p->first[machine]; k < p->first[machine + 1]; k++)
+		if (p->in->runs[p->run_of[k]].left_s < INFINITY)
+			ends[n++] = (struct end){p->in->runs[p->run_of[k]].left_s, p->run_of[k]};
 	qsort(ends, (size_t)n, sizeof(*ends), by_end);
 	for (int i = 0; i < n; i++) {
 		const struct fl_sched_run *r = &p->in->runs[ends[i].run];
@@ -564,6 +566,24 @@
 	free(ends_by);
 }
 
+/* Runs sorted by their machine: hundreds of machines must not each walk over all runs. */
+static void index_runs(struct pass *p)
+{
+	const struct fl_sched_in *in = p->in;
+
+	for (int i = 0; i < in->n_runs; i++)
+		p->first[in->runs[i].machine + 1]++;
+	for (int i = 0; i < in->n_machines; i++)
+		p->first[i + 1] += p->first[i];
+	/* From the end, so that each machine's begin is reached just as its runs are through. */
+	for (int i = in->n_runs - 1; i >= 0; i--)
+		p->run_of[--p->first[in->runs[i].machine + 1]] = i;
+	/* Each entry now stands one place too far, at its own begin. */
+	for (int i = 0; i < in->n_machines; i++)
+		p->first[i] = p->first[i + 1];
+	p->first[in->n_machines] = in->n_runs;
+}
+
 int fl_schedule(struct fl_sched_in *in, struct fl_sched_out *out)
 {
 	struct pass p = {.in = in, .out = out};
@@ -575,13 +595,17 @@
 	p.rank = malloc(n_j * sizeof(*p.rank));
 	p.priority = malloc(n_j * sizeof(*p.priority));
 	p.coming_cpus = calloc(3 * n_m, sizeof(*p.coming_cpus));
+	p.first = calloc(n_m, sizeof(*p.first));
+	p.run_of = malloc(((size_t)in->n_runs + 1) * sizeof(*p.run_of));
 	out->short_of = calloc(n_j, sizeof(*out->short_of));
-	if (!p.order || !p.rank || !p.priority || !p.coming_cpus || !out->short_of) {
+	if (!p.order || !p.rank || !p.priority || !p.coming_cpus || !p.first || !p.run_of ||
+	    !out->short_of) {
 		p.failed = true;
 		goto out;
 	}
 	p.coming_gpus = p.coming_cpus + n_m;
 	p.coming_ram = p.coming_gpus + n_m;
+	index_runs(&p);
 	for (int i = 0; i < in->n_runs; i++) {
 		const struct fl_sched_run *r = &in->runs[i];
 
@@ -603,6 +627,8 @@
 	free(p.rank);
 	free(p.priority);
 	free(p.coming_cpus);
+	free(p.first);
+	free(p.run_of);
 	return p.failed ? -1 : 0;
 }
 
