--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -1,8 +1,11 @@
 #include "bookkeeping/jobs.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "transport/clock.h"
+
 struct fl_job *fl_job_find(const struct fl_books *b, const char *ref)
 {
 	struct fl_job *j;
@@ -232,6 +235,7 @@
 	if (t->sight == FL_SEEN_RUNNING || t->sight == FL_SEEN_FLUSHING)
 		job->n_running--;
 	t->sight = FL_UNSEEN;
+	t->told = false;
 	t->stop = FL_STOP_NONE;
 	t->machine = -1;
 	t->epoch = 0;
@@ -252,13 +256,14 @@
 	t->sight = FL_UNSEEN;
 	t->stop = FL_STOP_NONE;
 	t->since = now;
+	t->placed = fl_wall();
 	job->n_waiting--;
 	fl_task_touch(b, job, index);
 	return 0;
 }
 
 int fl_task_restore(struct fl_books *b, struct fl_job *job, uint32_t index, uint32_t attempt,
-                    struct fl_machine *m, uint64_t tenure, double now)
+                    struct fl_machine *m, uint64_t tenure, double placed, double now)
 {
 	struct fl_task *t = fl_task_get(job, index);
 
@@ -268,7 +273,9 @@
 	t->attempt = attempt;
 	t->machine = m->id;
 	t->tenure = tenure;
-	t->since = now;
+	t->placed = placed;
+	/* Placed by an earlier leader: what it has run since would be lost by stopping it. */
+	t->since = now - (placed > 0 ? fmax(0, fl_wall() - placed) : 0);
 	job->n_waiting--;
 	return 0;
 }
@@ -310,11 +317,18 @@
 
 	if (is && !was) {
 		job->n_running++;
-		t->since = now;
+		/*
+		 * Read from a record and found running: it began long ago, at some time after its
+		 * placement. Counted from now, every new leader would take old work for fresh, and
+		 * stop what is nearly done to make room.
+		 */
+		if (t->epoch != 0 || t->sight != FL_UNSEEN)
+			t->since = now;
 	} else if (was && !is) {
 		job->n_running--;
 	}
 	t->sight = (uint8_t)sight;
+	t->told = false;
 }
 
 void fl_books_describe(struct fl_books *b, struct fl_machine *m, int kind, int zone, bool spot,
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -19,12 +19,14 @@
 
 struct fl_task {
 	uint8_t phase, sight, stop, fails;
+	bool told;         /* an answer ordered its launch, and no report has shown it yet */
 	uint32_t attempt;  /* the last one used; 0: none yet */
 	int32_t machine;   /* id, while PLACED */
 	uint64_t tenure;   /* of the machine, at placement */
 	uint64_t epoch;    /* in which this leader placed it; 0: read from a record */
 	uint64_t gen;      /* of the chunk, when this task last changed */
 	double since;      /* placed; or, when running, began to run */
+	double placed;     /* wall time of the placement, for the record */
 	double not_before; /* WAITING: backoff */
 };
 
@@ -116,7 +118,7 @@
                   uint64_t epoch, double now);
 /* Puts an attempt read from a record on its machine. */
 int fl_task_restore(struct fl_books *b, struct fl_job *job, uint32_t index, uint32_t attempt,
-                    struct fl_machine *m, uint64_t tenure, double now);
+                    struct fl_machine *m, uint64_t tenure, double placed, double now);
 /* PLACED -> WAITING: the attempt is proven not to be on its machine. */
 void fl_task_release(struct fl_books *b, struct fl_job *job, uint32_t index, double not_before);
 /* Any -> DONE. */
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -1,6 +1,7 @@
 #include "bookkeeping/ledger.h"
 
 #include <errno.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -187,8 +188,9 @@
 }
 
 /*
- * {"d":[[first,last],...],"t":[[index,attempt],...],"m":[[index,attempt,machine,tenure],...]}:
- * done ranges, waiting tasks that have used attempts, placed tasks.
+ * {"d":[[first,last],...],"t":[[index,attempt],...],
+ *  "m":[[index,attempt,machine,tenure,placed],...]}:
+ * done ranges, waiting tasks that have used attempts, placed tasks with their wall time.
  */
 cJSON *fl_chunk_encode(const struct fl_books *b, const struct fl_job *job, uint32_t chunk)
 {
@@ -219,6 +221,7 @@
 			cJSON_AddItemToArray(e,
 			                     cJSON_CreateString(b->machines.at[t->machine]->name));
 			cJSON_AddItemToArray(e, cJSON_CreateNumber((double)t->tenure));
+			cJSON_AddItemToArray(e, cJSON_CreateNumber(round(t->placed)));
 			cJSON_AddItemToArray(m, e);
 		} else if (t->attempt > 0) {
 			e = cJSON_CreateArray();
@@ -243,18 +246,21 @@
 static int restore_placed(struct fl_books *b, struct fl_job *job, const cJSON *e, double now)
 {
 	const cJSON *name = cJSON_GetArrayItem(e, 2);
-	double index, attempt, tenure;
+	double index, attempt, tenure, placed = 0;
 	struct fl_machine *m;
 
 	if (!item_number(e, 0, job->parts - 1, &index) ||
 	    !item_number(e, 1, UINT32_MAX, &attempt) || !item_number(e, 3, 9e15, &tenure) ||
 	    !cJSON_IsString(name) || strlen(name->valuestring) >= FL_NAME_MAX)
 		return -EPROTO;
+	/* Records of earlier versions have no time: it counts as placed now. */
+	if (cJSON_GetArraySize(e) > 4 && !item_number(e, 4, 9e15, &placed))
+		return -EPROTO;
 	m = fl_machine_get(&b->machines, name->valuestring, now);
 	if (!m)
 		return -ENOMEM;
 	return fl_task_restore(b, job, (uint32_t)index, (uint32_t)attempt, m, (uint64_t)tenure,
-	                       now);
+	                       placed, now);
 }
 
 int fl_chunk_restore(struct fl_books *b, struct fl_job *job, uint32_t chunk, const cJSON *v,
--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -40,11 +40,18 @@
 	uint64_t tenure, serial, epoch; /* of the newest report */
 	uint64_t direct_epoch;          /* highest epoch of a direct launch sent here; 0: none */
 	double heard;                   /* steady time of the newest report */
-	double reached;     /* and of the newest that orders could answer, or came by a command */
-	double created;     /* steady time of rental or first sight */
-	double idle_since;  /* 0: not idle */
-	double reclaim_at;  /* 0: no notice */
-	double avoid_until; /* faults seen: nothing is placed before */
+	double reached; /* and of the newest that orders could answer, or came by a command */
+	/* Whether it hears us, which the arrival of its reports does not show: hearing.h. */
+	double answered;         /* steady; of the newest answer to a report; 0: none */
+	uint64_t answered_epoch; /* that the answer carried */
+	bool answered_launch;    /* the answer ordered a launch */
+	int unheard;             /* answers in a row that the next report showed no sign of */
+	double unheard_since;    /* steady; of the first of them */
+	double gap;              /* s between its newest two reports that we answered */
+	double created;          /* steady time of rental or first sight */
+	double idle_since;       /* 0: not idle */
+	double reclaim_at;       /* 0: no notice */
+	double avoid_until;      /* faults seen: nothing is placed before */
 	int faults;
 	int foreign;           /* reported tasks that no record accounts for */
 	struct fl_slot *slots; /* attempts that may be on the machine */
--- /dev/null
+++ b/src/coordination/hearing.c
@@ -0,0 +1,81 @@
+#include "coordination/hearing.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "coordination/node.h"
+#include "transport/log.h"
+
+static const struct {
+	int doubts;        /* answers without effect before nothing more is placed */
+	double patience_s; /* s that a worker waits for an answer before it tries another node */
+} choice = {2, 4.0};
+
+void fl_hearing_proven(struct fl_machine *m)
+{
+	m->unheard = 0;
+	m->unheard_since = 0;
+}
+
+/* An attempt that the last answer ordered must show, be it as refused. */
+static bool launch_shows(const struct fl_machine *m, const struct fl_report *r)
+{
+	for (int i = 0; i < m->n_slots; i++) {
+		const struct fl_job *job = m->slots[i].job;
+		const struct fl_task *t = fl_task_peek(job, m->slots[i].index);
+		bool there = false;
+
+		if (!t->told)
+			continue;
+		for (int k = 0; k < r->n_parts && !there; k++)
+			there = r->parts[k].index == m->slots[i].index &&
+			        r->parts[k].attempt == t->attempt &&
+			        strcmp(r->parts[k].ref, job->ref) == 0;
+		if (!there)
+			return false;
+	}
+	return true;
+}
+
+void fl_hearing_report(struct fl_node *n, struct fl_machine *m, const struct fl_report *r,
+                       double now)
+{
+	bool session_lost, missed;
+
+	if (m->answered <= 0)
+		return;
+	m->gap = now - m->answered;
+	/* Had it heard the last answer, its lease could not have ended by now. */
+	session_lost = r->tenure > m->tenure && m->tenure > 0 &&
+	               m->gap < n->config->lease_s - choice.patience_s;
+	missed = r->epoch < m->answered_epoch || session_lost ||
+	         (m->answered_launch && !launch_shows(m, r));
+	if (missed) {
+		if (m->unheard++ == 0)
+			m->unheard_since = m->answered;
+		if (m->unheard == choice.doubts)
+			fl_info("workers", "%s does not seem to hear us: nothing new is placed",
+			        m->name);
+		return;
+	}
+	/* An answer with nothing to show proves nothing, unless the next report came promptly. */
+	if (m->answered_launch || m->gap < choice.patience_s)
+		fl_hearing_proven(m);
+}
+
+void fl_hearing_answered(struct fl_node *n, struct fl_machine *m, bool launch, double now)
+{
+	m->answered = now;
+	m->answered_epoch = n->lease.epoch;
+	m->answered_launch = launch;
+}
+
+bool fl_hearing_doubted(const struct fl_machine *m)
+{
+	return m->unheard >= choice.doubts || m->gap >= choice.patience_s;
+}
+
+double fl_hearing_lost_at(const struct fl_machine *m)
+{
+	return m->unheard >= choice.doubts ? m->unheard_since : INFINITY;
+}
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -23,7 +23,11 @@
 	double home_s;         /* s that a worker's own zone's node must have been up */
 	double home_leases;    /* leases between two times that one worker is sent home */
 	double record_use;     /* share of a value's limit that a digest fills */
-} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 1.5, 2.0, 1.0, 1.0, 1.5, 0.85};
+	double write_share;    /* share of the state service's writes for one node's digests */
+	double alone_s;        /* s without any word before a node counts as alone */
+	double probe_s;        /* s; the balancer asks about once a second */
+	double at_once_s;      /* s within which links that fail together fail for one reason */
+} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 1.5, 2.0, 1.0, 1.0, 1.5, 0.85, 0.12, 1.5, 2.5, 4.0};
 
 static struct fl_peer *find_peer(struct fl_node *n, const char *name)
 {
@@ -48,7 +52,7 @@
 }
 
 int fl_relay(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
-             bool last_hop, double patience_s, struct fl_reply *out)
+             enum fl_hop hop, double patience_s, struct fl_reply *out)
 {
 	struct fl_peer *lead = find_peer(n, n->leader);
 	double until = fl_now() + patience_s;
@@ -58,13 +62,13 @@
 	if (!lead)
 		return rc;
 	if (lead->up || n->n_peers == 1) {
-		text = fl_relay_encode(call, true, ref, body);
-		rc = relay_via(lead, text, last_hop ? patience_s : choice.direct_s, out);
+		text = fl_relay_encode(call, true, false, ref, body);
+		rc = relay_via(lead, text, hop ? patience_s : choice.direct_s, out);
 		free(text);
 	}
-	if (rc == 0 || last_hop)
+	if (rc == 0 || hop)
 		return rc;
-	text = fl_relay_encode(call, false, ref, body);
+	text = fl_relay_encode(call, false, fl_state_in_doubt(&n->state), ref, body);
 	for (int i = 0; i < n->n_peers && rc != 0; i++) {
 		struct fl_peer *p = &n->peers[i];
 
@@ -75,27 +79,42 @@
 	return rc;
 }
 
-static void keep(struct fl_node *n, const struct fl_report *r, const char *body)
+/*
+ * A copy of a report may come long after it, also to a node that has kept newer ones: it is no
+ * sign of life, and takes nothing's place.
+ */
+static void keep(struct fl_node *n, const struct fl_report *r)
 {
 	struct fl_kept *k;
+	char *text;
 
 	HASH_FIND_STR(n->keeper.kept, r->host, k);
+	if (k && (r->tenure < k->tenure || (r->tenure == k->tenure && r->serial <= k->serial)))
+		return;
+	text = fl_kept_encode(r);
+	if (!text)
+		return;
 	if (!k) {
 		k = calloc(1, sizeof(*k));
-		if (!k)
+		if (!k) {
+			free(text);
 			return;
+		}
 		strcpy(k->host, r->host);
 		HASH_ADD_STR(n->keeper.kept, host, k);
 	}
-	free(k->body);
-	k->body = strdup(body);
+	free(k->text);
+	k->text = text;
+	k->tenure = r->tenure;
+	k->serial = r->serial;
 	k->at = fl_now();
+	k->stored = false;
 }
 
 static void unkeep(struct fl_node *n, struct fl_kept *k)
 {
 	HASH_DEL(n->keeper.kept, k);
-	free(k->body);
+	free(k->text);
 	free(k);
 }
 
@@ -138,8 +157,7 @@
 	return has_proof(n, epoch);
 }
 
-static void answer_kept(struct fl_node *n, const struct fl_report *r, const char *body,
-                        struct fl_response *resp)
+static void answer_kept(struct fl_node *n, const struct fl_report *r, struct fl_response *resp)
 {
 	struct fl_orders orders;
 
@@ -147,7 +165,9 @@
 		fl_orders_init(&orders, n->epoch);
 		resp->status = 200;
 		resp->body = fl_orders_take(&orders);
-		keep(n, r, body);
+		keep(n, r);
+		if (n->lead.active)
+			fl_reconcile_kept(n, r);
 	} else {
 		fl_debug("keeper", "%s is refused: epoch %llu, known %llu, proof %.1f s old",
 		         r->host, (unsigned long long)r->epoch, (unsigned long long)n->epoch,
@@ -157,11 +177,11 @@
 }
 
 static void relay_or_keep(struct fl_node *n, const struct fl_report *r, const char *body,
-                          bool last_hop, struct fl_response *resp)
+                          enum fl_hop hop, struct fl_response *resp)
 {
 	struct fl_reply reply;
 
-	if (fl_relay(n, FL_CALL_REPORT, NULL, body, last_hop, choice.patience_s, &reply) == 0) {
+	if (fl_relay(n, FL_CALL_REPORT, NULL, body, hop, choice.patience_s, &reply) == 0) {
 		if (reply.status == 200) {
 			resp->status = 200;
 			resp->body = reply.body.data;
@@ -169,12 +189,13 @@
 		}
 		fl_buf_free(&reply.body);
 	}
-	if (!last_hop) {
-		answer_kept(n, r, body, resp);
+	if (!hop) {
+		answer_kept(n, r, resp);
 		return;
 	}
-	/* The sender may be cut from the state service too: its report goes with our digest. */
-	keep(n, r, body);
+	/* The sender is cut from the state service too: its report goes with our digest. */
+	if (hop == FL_LAST_HOP_ADRIFT)
+		keep(n, r);
 	resp->status = 421;
 }
 
@@ -216,12 +237,62 @@
 	return NULL;
 }
 
+static double last_peer_word(const struct fl_node *n)
+{
+	double last = -1e9;
+
+	for (int i = 0; i < n->n_peers; i++)
+		if (n->peers[i].heard_at > last)
+			last = n->peers[i].heard_at;
+	return last;
+}
+
+bool fl_keeper_alone(const struct fl_node *n)
+{
+	double last = last_peer_word(n);
+
+	if (n->n_peers == 0 || !fl_state_in_doubt(&n->state))
+		return false;
+	for (int i = 0; i < n->n_peers; i++)
+		if (n->peers[i].up)
+			return false;
+	if (n->state.last_ok > last)
+		last = n->state.last_ok;
+	return fl_now() > last + choice.alone_s;
+}
+
+/*
+ * Where to send the workers of a node that is alone. It could keep them, but the leader, which
+ * hears nothing of them, would give their machines up after a lease. They are better off elsewhere
+ * if it is this node's own links that are cut: the users' balancer still asks for it, so that the
+ * region is in reach, and state service and controllers were lost at once. A node cut off together
+ * with its zone keeps its workers, since they too can reach nobody else; so does the last node
+ * alive in an outage. Each worker is sent once in more than a lease, to the nodes in turn.
+ */
+static const struct fl_peer *away_from_here(struct fl_node *n, const struct fl_report *r)
+{
+	double last = last_peer_word(n), now = fl_now();
+
+	if (!fl_keeper_alone(n) || now > n->probed_at + choice.probe_s ||
+	    last < n->state.last_ok - choice.at_once_s ||
+	    last > n->state.last_ok + choice.at_once_s)
+		return NULL;
+	for (int i = 0; i < n->n_peers; i++) {
+		const struct fl_peer *p = &n->peers[n->keeper.away++ % n->n_peers];
+
+		/* Not to one that was lost before. */
+		if (p->heard_at > last - choice.at_once_s)
+			return sent_lately(n, r->host) ? NULL : p;
+	}
+	return NULL;
+}
+
 static void answer_leading(struct fl_node *n, const struct fl_report *r, struct fl_response *resp)
 {
 	struct fl_orders orders;
 
 	fl_orders_init(&orders, n->lease.epoch);
-	if (fl_reconcile_report(n, r, &orders, true) == 0) {
+	if (fl_reconcile_report(n, r, &orders, FL_WAY_REPORT) == 0) {
 		resp->status = 200;
 		resp->body = fl_orders_take(&orders);
 	} else {
@@ -230,7 +301,7 @@
 	}
 }
 
-void fl_keeper_report(struct fl_node *n, const char *body, size_t len, bool last_hop,
+void fl_keeper_report(struct fl_node *n, const char *body, size_t len, enum fl_hop hop,
                       struct fl_response *resp)
 {
 	const struct fl_peer *home;
@@ -240,15 +311,17 @@
 		fl_refuse(resp, 400, "not a report");
 		return;
 	}
-	home = last_hop ? NULL : home_of(n, &r);
+	home = hop ? NULL : home_of(n, &r);
+	if (!home && !hop)
+		home = away_from_here(n, &r);
 	if (home) {
-		fl_debug("keeper", "%s is sent home to %s", r.host, home->name);
+		fl_debug("keeper", "%s is sent to %s", r.host, home->name);
 		resp->status = 421;
 		resp->body = fl_steward_encode(home->name);
 	} else if (fl_lease_valid(n) && n->lead.active) {
 		answer_leading(n, &r, resp);
 	} else {
-		relay_or_keep(n, &r, body, last_hop, resp);
+		relay_or_keep(n, &r, body, hop, resp);
 	}
 	fl_report_free(&r);
 }
@@ -317,6 +390,7 @@
 		rc = fl_http_call(&p->http, "POST", "/gossip", text, choice.gossip_wait_s, &reply);
 		free(text);
 		if (rc == 0) {
+			p->heard_at = fl_now();
 			if (reply.status == 200 &&
 			    fl_gossip_decode(reply.body.data, reply.body.len, &theirs) == 0) {
 				hear(n, &theirs, sent);
@@ -331,57 +405,84 @@
 	}
 }
 
-static int write_digest(struct fl_node *n, int at, cJSON *list)
+/*
+ * Each record is written only over what this process knows to stand there: a write of its own, or
+ * of the process before it, that is carried out late must not take a newer one's place.
+ */
+static int write_digest(struct fl_node *n, int at, cJSON *digest)
 {
+	struct fl_digest_slot *d = &n->keeper.digest[at];
 	char key[FL_KEY_MAX];
 	struct fl_multi m;
-	uint64_t rev;
-	cJSON *v = cJSON_CreateObject();
-	int rc;
+	uint64_t rev = 0;
+	cJSON *v;
+	int rc = 0;
 
-	cJSON_AddNumberToObject(v, "epoch", (double)n->epoch);
-	cJSON_AddItemToObject(v, "reports", list);
 	snprintf(key, sizeof(key), FL_PREFIX_KEPT "%s/%d", n->config->node, at);
+	if (!d->known) {
+		rc = fl_state_get(&n->state, key, &v, &rev, NULL);
+		cJSON_Delete(v);
+		d->known = rc == 0 || rc == -ENOENT;
+		d->rev = rc == 0 ? rev : 0;
+	}
+	if (!d->known) {
+		cJSON_Delete(digest);
+		return rc;
+	}
 	fl_multi_init(&m);
-	fl_multi_put(&m, key, v, 0);
+	fl_multi_when(&m, key, d->rev);
+	fl_multi_put(&m, key, digest, 0);
 	rc = fl_state_multi(&n->state, &m, &rev, NULL);
+	if (rc == 0)
+		d->rev = rev;
+	else if (rc != -EAGAIN)
+		d->known = false;
 	fl_debug("keeper", "digest %d: %s", at, rc ? strerror(-rc) : "stored");
 	return rc;
 }
 
-/*
- * The leader must not take machines for dead that are kept here and that it cannot hear. Reports
- * travel as they are, through the state service, a few to a record.
- */
-static void digest(struct fl_node *n, double since)
+/* What fits into one record, of what no digest holds yet. NULL: nothing is left. */
+static cJSON *fill_digest(struct fl_node *n, double since)
 {
 	size_t limit = (size_t)(n->config->value_kb * 1024 * choice.record_use), used = 0;
 	struct fl_kept *k, *tmp;
-	cJSON *list = NULL;
-	int at = 0;
+	cJSON *digest = NULL;
 
 	HASH_ITER (hh, n->keeper.kept, k, tmp) {
-		/* Quotes are escaped on the way: count them twice. */
-		size_t len = k->body ? strlen(k->body) * 5 / 4 + 8 : 0;
+		size_t len = strlen(k->text) + 1;
 
-		if (k->at < since || len == 0 || len > limit)
+		if (k->stored || k->at < since || len > limit)
 			continue;
-		if (list && used + len > limit) {
-			if (write_digest(n, at++, list) != 0)
-				return;
-			list = NULL;
-		}
-		if (!list) {
-			list = cJSON_CreateArray();
-			used = 0;
-		}
-		cJSON_AddItemToArray(list, cJSON_CreateString(k->body));
+		if (used + len > limit)
+			break;
+		if (!digest)
+			digest = fl_digest_begin(n->epoch);
+		fl_digest_add(digest, k->text);
 		used += len;
-		/* The table may change while a write waits: start over next time. */
-		k->at = -1e9;
+		k->stored = true;
+		/* Last in turn from now on: where writes are short, each machine gets its share. */
+		HASH_DEL(n->keeper.kept, k);
+		HASH_ADD_STR(n->keeper.kept, host, k);
+	}
+	return digest;
+}
+
+/*
+ * The leader must not take machines for dead that are kept here and that it cannot hear. Their
+ * reports travel through the state service, many to a record, within a share of its writes: the
+ * leader's own records and the users' submissions need the rest.
+ */
+static void digest(struct fl_node *n, double since)
+{
+	for (int at = 0; at < FL_DIGESTS_MAX; at++) {
+		cJSON *digest;
+
+		if (fl_budget_take(&n->keeper.writes, 1, fl_now()) > 0)
+			return;
+		digest = fill_digest(n, since);
+		if (!digest || write_digest(n, at, digest) != 0)
+			return;
 	}
-	if (list)
-		write_digest(n, at, list);
 }
 
 static void forget_sent_home(struct fl_node *n, double before)
@@ -409,7 +510,7 @@
 			if (k->at < now - 5 * choice.digest_s)
 				unkeep(n, k);
 		if (!n->keeper.kept || fl_lease_valid(n) || !n->leader[0] ||
-		    n->state.last_refusal > n->state.last_ok)
+		    fl_state_in_doubt(&n->state))
 			continue;
 		digest(n, now - 2 * choice.digest_s);
 	}
@@ -417,7 +518,12 @@
 
 void fl_keeper_start(struct fl_node *n)
 {
-	for (int i = 0; i < n->n_peers; i++)
+	double rate = n->config->state_write_rps * choice.write_share;
+
+	fl_budget_init(&n->keeper.writes, rate, rate * choice.digest_s, fl_now());
+	for (int i = 0; i < n->n_peers; i++) {
+		n->peers[i].heard_at = -1e9;
 		fl_spawn(gossip_duty, &n->peers[i]);
+	}
 	fl_spawn(digest_duty, n);
 }
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -8,6 +8,7 @@
 
 #include <uthash.h>
 
+#include "bookkeeping/ledger.h"
 #include "protocol/peers.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -15,11 +16,28 @@
 
 struct fl_node;
 
+/* Where a call stands: it came from outside, or from a node that asks only this one. */
+enum fl_hop {
+	FL_FIRST_HOP,
+	FL_LAST_HOP,
+	FL_LAST_HOP_ADRIFT /* and whose sender has lost the state service too */
+};
+
 struct fl_kept {
 	UT_hash_handle hh;
 	char host[FL_NAME_MAX];
-	char *body; /* the newest report */
+	uint64_t tenure, serial;
+	char *text; /* the newest report, as it goes into a digest */
 	double at;
+	bool stored; /* went into a digest already */
+};
+
+enum { FL_DIGESTS_MAX = 64 };
+
+/* A record of ours in the state service. */
+struct fl_digest_slot {
+	uint64_t rev;
+	bool known; /* what rev stands there */
 };
 
 struct fl_sent_home {
@@ -31,17 +49,25 @@
 struct fl_keeper {
 	struct fl_kept *kept;
 	struct fl_sent_home *sent_home;
+	int away; /* whose turn it is to get a worker that is sent away */
+	struct fl_digest_slot digest[FL_DIGESTS_MAX];
+	struct fl_budget writes;
 	double refreshed_at;
 	bool refreshing;
 	struct fl_signal refreshed; /* the read for a fresher proof has come back */
 };
 
 void fl_keeper_start(struct fl_node *n);
-void fl_keeper_report(struct fl_node *n, const char *body, size_t len, bool last_hop,
+void fl_keeper_report(struct fl_node *n, const char *body, size_t len, enum fl_hop hop,
                       struct fl_response *resp);
 /* Passes a call to the leader, direct or through a third node: 0 and the answer, or an errno. */
 int fl_relay(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
-             bool last_hop, double patience_s, struct fl_reply *out);
+             enum fl_hop hop, double patience_s, struct fl_reply *out);
+/*
+ * This node hears neither the state service nor any other controller: it can decide nothing, pass
+ * nothing on, and nobody can order its workers' machines through it.
+ */
+bool fl_keeper_alone(const struct fl_node *n);
 void fl_keeper_gossip(struct fl_node *n, const char *body, size_t len, struct fl_response *resp);
 
 #endif
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "coordination/hearing.h"
 #include "coordination/node.h"
 #include "coordination/reconcile.h"
 #include "coordination/schedule.h"
@@ -93,7 +94,8 @@
 {
 	return m && m->up && m->described && !m->deleting && !m->gone && m->foreign == 0 &&
 	       m->reclaim_at == 0 && m->avoid_until <= now &&
-	       now - m->reached < choice.fresh_reports * n->config->report_s;
+	       now - m->reached < choice.fresh_reports * n->config->report_s &&
+	       !fl_hearing_doubted(m);
 }
 
 static double estimated_left(const struct fl_job *job, const struct fl_task *t, double now)
@@ -394,7 +396,7 @@
 	free(body);
 	if (rc == 200 || rc == 409) {
 		if (leading(n))
-			fl_reconcile_report(n, &r, NULL, true);
+			fl_reconcile_report(n, &r, NULL, FL_WAY_COMMAND);
 		fl_report_free(&r);
 	}
 }
@@ -793,14 +795,13 @@
 
 	if (!ch->value || !leading(n))
 		return;
-	cJSON_ArrayForEach (e, fl_json_get(ch->value, "reports")) {
+	cJSON_ArrayForEach (e, fl_digest_reports(ch->value)) {
 		struct fl_report r;
 
-		if (!cJSON_IsString(e) ||
-		    fl_report_decode(e->valuestring, strlen(e->valuestring), &r) != 0)
+		if (fl_kept_decode(e, &r) != 0)
 			continue;
 		/* Heard of, but not to be reached: it is alive, and gets no new task. */
-		fl_reconcile_report(n, &r, NULL, false);
+		fl_reconcile_report(n, &r, NULL, FL_WAY_HEARSAY);
 		fl_report_free(&r);
 	}
 }
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -78,7 +78,8 @@
 }
 
 /* 1: known, and answered; 0: not known; <0: cannot be told now. */
-static int answer_known(struct fl_node *n, const char *ref, bool last_hop, struct fl_response *resp)
+static int answer_known(struct fl_node *n, const char *ref, enum fl_hop hop,
+                        struct fl_response *resp)
 {
 	struct fl_job_record rec;
 	uint64_t rev;
@@ -91,7 +92,7 @@
 		if (rc)
 			return rc == -ENOENT ? 0 : rc;
 	}
-	fl_node_user_call(n, FL_CALL_POLL, ref, NULL, 0, last_hop, resp);
+	fl_node_user_call(n, FL_CALL_POLL, ref, NULL, 0, hop, resp);
 	return 1;
 }
 
@@ -124,15 +125,9 @@
 	return 0;
 }
 
-/* No answer since the last refusal or silence. */
-static bool state_in_doubt(const struct fl_node *n)
-{
-	return n->state.last_refusal > n->state.last_ok;
-}
-
 static bool state_is_down(const struct fl_node *n)
 {
-	return state_in_doubt(n) && fl_now() - n->state.last_refusal < choice.down_s;
+	return fl_state_in_doubt(&n->state) && fl_now() - n->state.last_refusal < choice.down_s;
 }
 
 /* The state service may refuse this node alone, or be cut from it: the leader has it. */
@@ -140,8 +135,8 @@
 {
 	struct fl_reply reply;
 
-	if (fl_lease_valid(n) ||
-	    fl_relay(n, FL_CALL_SUBMIT, NULL, body, false, choice.relay_write_s, &reply) != 0)
+	if (fl_lease_valid(n) || fl_relay(n, FL_CALL_SUBMIT, NULL, body, FL_FIRST_HOP,
+	                                  choice.relay_write_s, &reply) != 0)
 		return false;
 	if (reply.status == 200 || reply.status == 201) {
 		resp->status = reply.status;
@@ -152,7 +147,7 @@
 	return false;
 }
 
-static void submit(struct fl_node *n, const char *body, size_t len, bool last_hop,
+static void submit(struct fl_node *n, const char *body, size_t len, enum fl_hop hop,
                    struct fl_response *resp)
 {
 	cJSON *o = fl_json_parse(body, len);
@@ -172,10 +167,15 @@
 		fl_refuse(resp, 400, "Ref: missing or invalid");
 		return;
 	}
+	if (fl_keeper_alone(n)) {
+		/* At once: every try at either would cost the user seconds in vain. */
+		fl_later(resp, "neither the state service nor another controller answers");
+		return;
+	}
 	/* A known job is answered with its state before anything else is judged. */
 	if (bad || !n->kinds_known || fl_final_find(&n->books, run.ref) ||
 	    fl_job_find(&n->books, run.ref)) {
-		rc = answer_known(n, run.ref, last_hop, resp);
+		rc = answer_known(n, run.ref, hop, resp);
 		if (rc == 1)
 			return;
 		if (rc < 0 || !bad)
@@ -186,7 +186,7 @@
 	}
 	why = never(n, &run);
 	if (why) {
-		rc = answer_known(n, run.ref, last_hop, resp);
+		rc = answer_known(n, run.ref, hop, resp);
 		if (rc == 0)
 			fl_refuse(resp, 422, "%s", why);
 		else if (rc < 0)
@@ -194,7 +194,7 @@
 		return;
 	}
 	/* A cut is silent: to try here first would cost the user a second. */
-	relayed_first = !last_hop && state_in_doubt(n);
+	relayed_first = !hop && fl_state_in_doubt(&n->state);
 	if (relayed_first && submit_by_leader(n, body, resp))
 		return;
 	rc = state_is_down(n) ? -EAGAIN : store_job(n, &run);
@@ -205,9 +205,9 @@
 		resp->body = fl_status_encode(run.ref, FL_PENDING, -1, 0);
 		return;
 	}
-	if (rc == -ESTALE && answer_known(n, run.ref, last_hop, resp) == 1)
+	if (rc == -ESTALE && answer_known(n, run.ref, hop, resp) == 1)
 		return;
-	if (rc != -ESTALE && !last_hop && !relayed_first && submit_by_leader(n, body, resp))
+	if (rc != -ESTALE && !hop && !relayed_first && submit_by_leader(n, body, resp))
 		return;
 	fl_later(resp, "the job could not be stored");
 }
@@ -256,13 +256,13 @@
 	resp->body = fl_status_encode(ref, p.placed ? FL_RUNNING : FL_PENDING, p.done, p.placed);
 }
 
-static void relayed(struct fl_node *n, enum fl_user_call call, const char *ref, bool last_hop,
+static void relayed(struct fl_node *n, enum fl_user_call call, const char *ref, enum fl_hop hop,
                     struct fl_response *resp)
 {
 	double patience = call == FL_CALL_POLL ? choice.relay_s : choice.relay_write_s;
 	struct fl_reply reply;
 
-	if (fl_relay(n, call, ref, NULL, last_hop, patience, &reply) == 0) {
+	if (fl_relay(n, call, ref, NULL, hop, patience, &reply) == 0) {
 		if (reply.status == 200 || reply.status == 404) {
 			resp->status = reply.status;
 			resp->body = reply.body.data;
@@ -270,7 +270,7 @@
 		}
 		fl_buf_free(&reply.body);
 	}
-	if (last_hop)
+	if (hop)
 		fl_refuse(resp, 421, "not the leader");
 	else if (call == FL_CALL_POLL)
 		poll_records(n, ref, resp);
@@ -279,7 +279,7 @@
 }
 
 static void poll_or_cancel(struct fl_node *n, enum fl_user_call call, const char *ref,
-                           bool last_hop, struct fl_response *resp)
+                           enum fl_hop hop, struct fl_response *resp)
 {
 	struct fl_final *f;
 
@@ -304,25 +304,30 @@
 			fl_leader_cancel(n, ref, resp);
 		return;
 	}
-	relayed(n, call, ref, last_hop, resp);
+	if (fl_keeper_alone(n)) {
+		fl_later(resp, "neither the state service nor another controller answers");
+		return;
+	}
+	relayed(n, call, ref, hop, resp);
 }
 
 void fl_node_user_call(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
-                       size_t len, bool last_hop, struct fl_response *resp)
+                       size_t len, enum fl_hop hop, struct fl_response *resp)
 {
 	switch (call) {
 	case FL_CALL_SUBMIT:
-		submit(n, body, len, last_hop, resp);
+		submit(n, body, len, hop, resp);
 		break;
 	case FL_CALL_POLL:
 	case FL_CALL_CANCEL:
-		poll_or_cancel(n, call, ref, last_hop, resp);
+		poll_or_cancel(n, call, ref, hop, resp);
 		break;
 	case FL_CALL_REPORT:
-		fl_keeper_report(n, body, len, last_hop, resp);
+		fl_keeper_report(n, body, len, hop, resp);
 		break;
 	case FL_CALL_READY:
-		resp->status = n->kinds_known && n->jobs_known ? 200 : 503;
+		n->probed_at = fl_now();
+		resp->status = n->kinds_known && n->jobs_known && !fl_keeper_alone(n) ? 200 : 503;
 		break;
 	default:
 		fl_refuse(resp, 404, "no such path");
@@ -340,7 +345,7 @@
 		fl_refuse(resp, 405, "wrong method");
 		return;
 	}
-	fl_node_user_call(ctx, call, ref, req->body, req->body_len, false, resp);
+	fl_node_user_call(ctx, call, ref, req->body, req->body_len, FL_FIRST_HOP, resp);
 }
 
 static void on_peer(void *ctx, const struct fl_request *req, struct fl_response *resp)
@@ -365,8 +370,8 @@
 	if (!leads && (r.last_hop || strcmp(n->leader, n->config->node) == 0))
 		fl_refuse(resp, 421, "not the leader");
 	else
-		fl_node_user_call(n, r.call, r.ref, r.body, r.body ? strlen(r.body) : 0, true,
-		                  resp);
+		fl_node_user_call(n, r.call, r.ref, r.body, r.body ? strlen(r.body) : 0,
+		                  r.adrift ? FL_LAST_HOP_ADRIFT : FL_LAST_HOP, resp);
 	fl_relay_free(&r);
 }
 
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -20,6 +20,7 @@
 	struct fl_http_client http;
 	char location[FL_NAME_MAX];
 	double up_since; /* steady; while up */
+	double heard_at; /* steady; of the last exchange that came back */
 	bool up;
 };
 
@@ -38,6 +39,7 @@
 	uint64_t epoch;
 	double proof_at;
 	struct fl_signal control_changed;
+	double probed_at; /* steady; when the users' balancer last asked for /ready */
 
 	struct fl_lease lease;
 	struct fl_leadership lead;
@@ -48,7 +50,7 @@
 int fl_node_start(const struct fl_config *config);
 /* Answers a user's call here, passing on what only the leader can say. */
 void fl_node_user_call(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
-                       size_t len, bool last_hop, struct fl_response *resp);
+                       size_t len, enum fl_hop hop, struct fl_response *resp);
 /* Fills a response with an error text. */
 void fl_refuse(struct fl_response *resp, int status, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "coordination/hearing.h"
 #include "coordination/node.h"
 #include "coordination/reconcile.h"
 #include "coordination/schedule.h"
@@ -450,7 +451,10 @@
 
 static double last_sign(const struct fl_node *n, const struct fl_machine *m)
 {
-	return fmax(fmax(m->heard, n->lead.since), m->created);
+	double heard = fmax(fmax(m->heard, n->lead.since), m->created);
+
+	/* Reports of one that does not hear us are no sign that it can be used. */
+	return fmin(heard, fl_hearing_lost_at(m));
 }
 
 static bool silent(const struct fl_node *n, const struct fl_machine *m, double now, double leases)
@@ -485,7 +489,7 @@
 	if (m->gone)
 		return NULL;
 	if (silent(n, m, now, leases))
-		return "silent";
+		return fl_hearing_lost_at(m) < INFINITY ? "does not hear us" : "silent";
 	if (!k)
 		return NULL;
 	if (!m->up && m->n_slots == 0 && now - m->created > choice.boot_most * k->ready_s + 5)
@@ -556,7 +560,8 @@
 
 	memset(&n->provision, 0, sizeof(n->provision));
 	n->provision.kinds_at = now;
-	fl_budget_init(&n->provision.calls, n->config->cloud_rps * 0.8, 2 * n->config->cloud_rps * 0.8, now);
+	fl_budget_init(&n->provision.calls, n->config->cloud_rps * 0.8,
+	               2 * n->config->cloud_rps * 0.8, now);
 }
 
 void fl_provision_duty(void *arg)
--- a/src/coordination/reconcile.c
+++ b/src/coordination/reconcile.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "coordination/hearing.h"
 #include "coordination/node.h"
 #include "transport/clock.h"
 #include "transport/log.h"
@@ -28,12 +29,14 @@
 /*
  * Does the absence of an attempt from this report prove it is not there? Not if the report may
  * have been sent before an older leader's answer was executed, nor if a direct launch may still
- * arrive: both are ruled out once the worker has seen a higher epoch than they carry.
+ * arrive: both are ruled out once the worker has seen a higher epoch than they carry. Nor if it is
+ * the reply to a command and an answer has ordered the launch: the reply may overtake the answer,
+ * which is on its way to the worker until that sends its next report of its own.
  */
-static bool absence_proves(const struct fl_node *n, const struct fl_machine *m,
-                           const struct fl_task *t, const struct fl_report *r)
+static bool absence_proves(const struct fl_machine *m, const struct fl_task *t,
+                           const struct fl_report *r, enum fl_way way)
 {
-	if (t->epoch == 0 && r->epoch < n->lead.first_epoch)
+	if (t->told && way == FL_WAY_COMMAND)
 		return false;
 	/* An answer's launch is carried out before the worker's next report or never. */
 	return m->direct_epoch == 0 || r->epoch > m->direct_epoch;
@@ -190,10 +193,15 @@
 	return false;
 }
 
-/* Attempts that should be here and were not reported: launch, or conclude that they are not. */
-static void missing_parts(struct fl_node *n, struct fl_machine *m, const struct fl_report *r,
-                          struct fl_orders *orders, double now)
+/*
+ * Attempts that should be here and were not reported: launch, or conclude that they are not. True
+ * if a launch is ordered.
+ */
+static bool missing_parts(struct fl_node *n, struct fl_machine *m, const struct fl_report *r,
+                          struct fl_orders *orders, enum fl_way way, double now)
 {
+	bool launches = false;
+
 	for (int i = m->n_slots - 1; i >= 0; i--) {
 		struct fl_job *job = m->slots[i].job;
 		uint32_t index = m->slots[i].index;
@@ -215,7 +223,7 @@
 			fl_task_sighted(job, t, FL_UNSEEN, now);
 		}
 		if (!wanted(job, t)) {
-			if (absence_proves(n, m, t, r)) {
+			if (absence_proves(m, t, r, way)) {
 				fl_task_release(&n->books, job, index, 0);
 				fl_signal_wake(&n->lead.work);
 			} else if (m->direct_epoch >= r->epoch && m->direct_epoch > 0) {
@@ -223,8 +231,11 @@
 			}
 		} else if (orders && fl_task_durable(job, index)) {
 			fl_orders_add(orders, FL_LAUNCH, job->ref, index, t->attempt, 0);
+			t->told = true;
+			launches = true;
 		}
 	}
+	return launches;
 }
 
 static void describe(struct fl_node *n, struct fl_machine *m, const struct fl_report *r)
@@ -235,42 +246,79 @@
 	fl_books_describe(&n->books, m, kind, zone, r->spot, r->endpoint);
 }
 
-int fl_reconcile_report(struct fl_node *n, const struct fl_report *r, struct fl_orders *orders,
-                        bool reached)
+/*
+ * A report that carries no epoch of this leadership was sent before its worker heard of it, maybe
+ * long before: after a takeover nothing is known yet that would show a late copy to be old. It is
+ * answered, and nothing else: no sign of life, no machine back from the dead. A worker that hears
+ * the answer reports again at once, with the epoch.
+ */
+static bool from_before(const struct fl_node *n, const struct fl_report *r)
 {
-	double now = fl_now();
-	struct fl_machine *m = fl_machine_get(&n->books.machines, r->host, now);
-	bool fresh;
+	return r->epoch < n->lead.first_epoch;
+}
+
+static void take_in(struct fl_node *n, struct fl_machine *m, const struct fl_report *r, double now)
+{
+	bool fresh = !m->up;
 
-	if (!m || m->gone)
-		return -ENOENT;
-	if (r->epoch > n->lease.epoch)
-		return -ENOENT; /* our own epoch, being raised: the next report will do */
-	if (!newer(m, r))
-		return 0;
-	fresh = !m->up;
 	describe(n, m, r);
 	m->tenure = r->tenure;
 	m->serial = r->serial;
 	m->epoch = r->epoch;
 	m->heard = now;
-	if (reached)
-		m->reached = now;
 	m->up = true;
 	m->foreign = 0;
 	if (r->reclaim_in_s >= 0 && m->reclaim_at == 0) {
 		m->reclaim_at = now + r->reclaim_in_s;
 		fl_info("cloud", "%s will be taken back in %.0f s", m->name, r->reclaim_in_s);
-		fl_signal_wake(&n->lead.work);
+		fresh = true;
 	}
-	for (int i = 0; i < r->n_parts; i++)
-		reported_part(n, m, &r->parts[i], r, orders, now);
-	missing_parts(n, m, r, orders, now);
 	if (fresh)
 		fl_signal_wake(&n->lead.work);
+}
+
+int fl_reconcile_report(struct fl_node *n, const struct fl_report *r, struct fl_orders *orders,
+                        enum fl_way way)
+{
+	double now = fl_now();
+	struct fl_machine *m = fl_machine_find(&n->books.machines, r->host);
+	bool launches;
+
+	if (m && m->gone)
+		return -ENOENT;
+	if (r->epoch > n->lease.epoch)
+		return -ENOENT; /* our own epoch, being raised: the next report will do */
+	if (from_before(n, r))
+		return 0;
+	if (!m)
+		m = fl_machine_get(&n->books.machines, r->host, now);
+	if (!m)
+		return -ENOENT;
+	if (!newer(m, r))
+		return 0;
+	if (way == FL_WAY_COMMAND)
+		fl_hearing_proven(m);
+	else if (way == FL_WAY_REPORT)
+		fl_hearing_report(n, m, r, now);
+	take_in(n, m, r, now);
+	if (way != FL_WAY_HEARSAY)
+		m->reached = now;
+	for (int i = 0; i < r->n_parts; i++)
+		reported_part(n, m, &r->parts[i], r, orders, now);
+	launches = missing_parts(n, m, r, orders, way, now);
+	if (way == FL_WAY_REPORT)
+		fl_hearing_answered(n, m, launches, now);
 	return 0;
 }
 
+void fl_reconcile_kept(struct fl_node *n, const struct fl_report *r)
+{
+	struct fl_machine *m = fl_machine_find(&n->books.machines, r->host);
+
+	if (m && m->up && newer(m, r))
+		fl_hearing_answered(n, m, false, fl_now());
+}
+
 bool fl_reconcile_direct(struct fl_node *n, struct fl_machine *m, struct fl_orders *orders)
 {
 	bool launched = false;
--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -6,9 +6,8 @@
 #include <string.h>
 
 static const struct {
-	int depth;    /* levels; cJSON recurses, and a routine's stack is small */
-	double exact; /* largest integer that a double holds exactly */
-} choice = {32, 9007199254740992.0};
+	int depth; /* levels; cJSON recurses, and a routine's stack is small */
+} choice = {32};
 
 static bool shallow(const char *s, size_t len)
 {
@@ -75,19 +74,27 @@
 	return FL_FIELD_OK;
 }
 
-enum fl_field fl_json_count(const cJSON *o, const char *key, uint64_t *out)
+static enum fl_field whole_number(const cJSON *v, uint64_t most, uint64_t *out)
 {
-	const cJSON *v = fl_json_get(o, key);
-
 	if (!v)
 		return FL_FIELD_ABSENT;
-	if (!cJSON_IsNumber(v) || !(v->valuedouble >= 0) || v->valuedouble > choice.exact ||
+	if (!cJSON_IsNumber(v) || !(v->valuedouble >= 0) || v->valuedouble > (double)most ||
 	    v->valuedouble != floor(v->valuedouble))
 		return FL_FIELD_BAD;
 	*out = (uint64_t)v->valuedouble;
 	return FL_FIELD_OK;
 }
 
+enum fl_field fl_json_count(const cJSON *o, const char *key, uint64_t *out)
+{
+	return whole_number(fl_json_get(o, key), FL_COUNT_MAX, out);
+}
+
+enum fl_field fl_json_item(const cJSON *array, int at, uint64_t most, uint64_t *out)
+{
+	return whole_number(cJSON_GetArrayItem(array, at), most, out);
+}
+
 enum fl_field fl_json_bool(const cJSON *o, const char *key, bool *out)
 {
 	const cJSON *v = fl_json_get(o, key);
--- a/src/protocol/json.h
+++ b/src/protocol/json.h
@@ -14,6 +14,10 @@
 enum fl_field fl_json_str(const cJSON *o, const char *key, char *out, size_t cap);
 enum fl_field fl_json_amount(const cJSON *o, const char *key, double *out);
 enum fl_field fl_json_count(const cJSON *o, const char *key, uint64_t *out);
+/* The largest integer up to which a double holds each exactly. */
+#define FL_COUNT_MAX (1ULL << 53)
+/* A whole number in an array; BAD beyond `most`. */
+enum fl_field fl_json_item(const cJSON *array, int at, uint64_t most, uint64_t *out);
 enum fl_field fl_json_bool(const cJSON *o, const char *key, bool *out);
 const cJSON *fl_json_get(const cJSON *o, const char *key);
 /* Prints and frees the tree. */
--- a/src/protocol/peers.c
+++ b/src/protocol/peers.c
@@ -1,6 +1,7 @@
 #include "protocol/peers.h"
 
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 
 char *fl_gossip_encode(const struct fl_gossip *g)
@@ -31,12 +32,15 @@
 	return rc;
 }
 
-char *fl_relay_encode(enum fl_user_call call, bool last_hop, const char *ref, const char *body)
+char *fl_relay_encode(enum fl_user_call call, bool last_hop, bool adrift, const char *ref,
+                      const char *body)
 {
 	cJSON *o = cJSON_CreateObject();
 
 	cJSON_AddNumberToObject(o, "call", call);
 	cJSON_AddBoolToObject(o, "last_hop", last_hop);
+	if (adrift)
+		cJSON_AddBoolToObject(o, "adrift", true);
 	if (ref)
 		cJSON_AddStringToObject(o, "ref", ref);
 	if (body)
@@ -54,6 +58,7 @@
 	body = fl_json_get(out->tree, "body");
 	if (fl_json_count(out->tree, "call", &call) != FL_FIELD_OK || call > FL_CALL_REPORT ||
 	    fl_json_bool(out->tree, "last_hop", &out->last_hop) != FL_FIELD_OK ||
+	    fl_json_bool(out->tree, "adrift", &out->adrift) == FL_FIELD_BAD ||
 	    fl_json_str(out->tree, "ref", out->ref, sizeof(out->ref)) == FL_FIELD_BAD ||
 	    (body && !cJSON_IsString(body))) {
 		fl_relay_free(out);
@@ -69,3 +74,94 @@
 	cJSON_Delete(r->tree);
 	r->tree = NULL;
 }
+
+/* [host,tenure,serial,epoch,reclaim_in,[[ref,index,attempt,state,exit],...]] */
+char *fl_kept_encode(const struct fl_report *r)
+{
+	cJSON *e = cJSON_CreateArray(), *parts = cJSON_CreateArray();
+
+	cJSON_AddItemToArray(e, cJSON_CreateString(r->host));
+	cJSON_AddItemToArray(e, cJSON_CreateNumber((double)r->tenure));
+	cJSON_AddItemToArray(e, cJSON_CreateNumber((double)r->serial));
+	cJSON_AddItemToArray(e, cJSON_CreateNumber((double)r->epoch));
+	cJSON_AddItemToArray(e, cJSON_CreateNumber(r->reclaim_in_s));
+	for (int i = 0; i < r->n_parts; i++) {
+		const struct fl_part *p = &r->parts[i];
+		cJSON *x = cJSON_CreateArray();
+
+		cJSON_AddItemToArray(x, cJSON_CreateString(p->ref));
+		cJSON_AddItemToArray(x, cJSON_CreateNumber(p->index));
+		cJSON_AddItemToArray(x, cJSON_CreateNumber(p->attempt));
+		cJSON_AddItemToArray(x, cJSON_CreateNumber(p->state));
+		if (p->state == FL_ENDED)
+			cJSON_AddItemToArray(x, cJSON_CreateNumber(p->exit));
+		cJSON_AddItemToArray(parts, x);
+	}
+	cJSON_AddItemToArray(e, parts);
+	return fl_json_take(e);
+}
+
+static int decode_kept_part(const cJSON *x, struct fl_part *p)
+{
+	const cJSON *ref = cJSON_GetArrayItem(x, 0);
+	uint64_t index, attempt, state, why = FL_EXIT_OTHER;
+
+	if (!cJSON_IsString(ref) || strlen(ref->valuestring) >= FL_REF_MAX ||
+	    !fl_ref_ok(ref->valuestring) ||
+	    fl_json_item(x, 1, FL_PARTS_MAX - 1, &index) != FL_FIELD_OK ||
+	    fl_json_item(x, 2, UINT32_MAX, &attempt) != FL_FIELD_OK ||
+	    fl_json_item(x, 3, FL_GATHERING, &state) != FL_FIELD_OK ||
+	    fl_json_item(x, 4, FL_EXIT_OTHER, &why) == FL_FIELD_BAD)
+		return -EPROTO;
+	strcpy(p->ref, ref->valuestring);
+	p->index = (uint32_t)index;
+	p->attempt = (uint32_t)attempt;
+	p->state = (enum fl_part_state)state;
+	p->exit = (enum fl_exit)why;
+	return 0;
+}
+
+int fl_kept_decode(const cJSON *e, struct fl_report *out)
+{
+	const cJSON *host = cJSON_GetArrayItem(e, 0), *notice = cJSON_GetArrayItem(e, 4);
+	const cJSON *parts = cJSON_GetArrayItem(e, 5), *x;
+
+	memset(out, 0, sizeof(*out));
+	if (!cJSON_IsString(host) || !host->valuestring[0] ||
+	    strlen(host->valuestring) >= sizeof(out->host) ||
+	    fl_json_item(e, 1, FL_COUNT_MAX, &out->tenure) != FL_FIELD_OK ||
+	    fl_json_item(e, 2, FL_COUNT_MAX, &out->serial) != FL_FIELD_OK ||
+	    fl_json_item(e, 3, FL_COUNT_MAX, &out->epoch) != FL_FIELD_OK ||
+	    !cJSON_IsNumber(notice) || !cJSON_IsArray(parts))
+		return -EPROTO;
+	strcpy(out->host, host->valuestring);
+	out->reclaim_in_s = notice->valuedouble >= 0 ? notice->valuedouble : -1;
+	out->parts = calloc((size_t)cJSON_GetArraySize(parts) + 1, sizeof(*out->parts));
+	if (!out->parts)
+		return -ENOMEM;
+	cJSON_ArrayForEach (x, parts) {
+		if (decode_kept_part(x, &out->parts[out->n_parts]) != 0) {
+			fl_report_free(out);
+			return -EPROTO;
+		}
+		out->n_parts++;
+	}
+	return 0;
+}
+
+cJSON *fl_digest_begin(uint64_t epoch)
+{
+	cJSON *o = cJSON_CreateObject();
+
+	cJSON_AddNumberToObject(o, "epoch", (double)epoch);
+	cJSON_AddArrayToObject(o, "kept");
+	return o;
+}
+
+void fl_digest_add(cJSON *digest, const char *kept)
+{
+	cJSON_AddItemToArray(cJSON_GetObjectItemCaseSensitive(digest, "kept"),
+	                     cJSON_CreateRaw(kept));
+}
+
+const cJSON *fl_digest_reports(const cJSON *digest) { return fl_json_get(digest, "kept"); }
--- a/src/protocol/peers.h
+++ b/src/protocol/peers.h
@@ -2,7 +2,7 @@
 #ifndef FL_PROTOCOL_PEERS_H
 #define FL_PROTOCOL_PEERS_H
 
-#include "protocol/users.h"
+#include "protocol/workers.h"
 
 struct fl_gossip {
 	char node[FL_NAME_MAX], leader[FL_NAME_MAX]; /* leader empty: none known */
@@ -18,13 +18,27 @@
 struct fl_relay {
 	enum fl_user_call call;
 	bool last_hop; /* must not be passed on again */
+	bool adrift;   /* the sender cannot reach the state service either: keep what it sends */
 	char ref[FL_REF_MAX];
 	const char *body; /* the report's text */
 	cJSON *tree;      /* keeps body alive */
 };
 
-char *fl_relay_encode(enum fl_user_call call, bool last_hop, const char *ref, const char *body);
+char *fl_relay_encode(enum fl_user_call call, bool last_hop, bool adrift, const char *ref,
+                      const char *body);
 int fl_relay_decode(const char *text, size_t len, struct fl_relay *out);
 void fl_relay_free(struct fl_relay *r);
 
+/*
+ * A kept report as it goes through the state service, where every byte of hundreds of machines
+ * counts against values and writes: what is on the machine, but not what is known of it anyway.
+ */
+char *fl_kept_encode(const struct fl_report *r);
+/* Kind, site and endpoint stay empty. 0, or -EPROTO with nothing held. */
+int fl_kept_decode(const cJSON *e, struct fl_report *out);
+/* A record of kept reports: takes the texts of fl_kept_encode one by one. */
+cJSON *fl_digest_begin(uint64_t epoch);
+void fl_digest_add(cJSON *digest, const char *kept);
+const cJSON *fl_digest_reports(const cJSON *digest);
+
 #endif
--- a/src/protocol/state.c
+++ b/src/protocol/state.c
@@ -23,6 +23,8 @@
 	return rc ? rc : fl_http_client_init(&s->watch, addr, 2);
 }
 
+bool fl_state_in_doubt(const struct fl_state *s) { return s->last_refusal > s->last_ok; }
+
 static int to_errno(int status)
 {
 	switch (status) {
--- a/src/protocol/state.h
+++ b/src/protocol/state.h
@@ -30,6 +30,8 @@
 	uint64_t rev;
 };
 
+/* No answer since the last refusal or silence. */
+bool fl_state_in_doubt(const struct fl_state *s);
 int fl_state_init(struct fl_state *s, const char *addr);
 /* `*value` is owned by the caller. */
 int fl_state_get(struct fl_state *s, const char *key, cJSON **value, uint64_t *rev,
--- /dev/null
+++ b/tests/test_hearing.c
@@ -0,0 +1,534 @@
+/*
+ * Messages that arrive one way only, late, or twice: machines that report and do not hear, copies
+ * of reports long after them, replies that overtake answers, and a controller that has lost all
+ * but its workers. Nothing here opens a connection: reports are handed in, answers looked at.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <errno.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/hearing.h"
+#include "coordination/node.h"
+#include "coordination/reconcile.h"
+#include "transport/clock.h"
+
+enum { EPOCH = 7 };
+
+struct fixture {
+	struct fl_node node;
+	struct fl_config config;
+	struct fl_job *job;
+	uint64_t serial;
+};
+
+static void lead(struct fixture *f, uint64_t epoch)
+{
+	struct fl_node *n = &f->node;
+
+	fl_books_forget_tasks(&n->books);
+	memset(&n->lead, 0, sizeof(n->lead));
+	n->books.leading = n->lead.active = true;
+	n->lease.held = true;
+	n->lease.valid_until = fl_now() + 1e6;
+	n->lease.epoch = n->lead.first_epoch = n->epoch = epoch;
+	n->proof_at = fl_now();
+	strcpy(n->leader, "n0");
+}
+
+static int set_up(void **state)
+{
+	struct fl_host_kind kind = {
+		.name = "g", .cpus = 8, .ram_gb = 64, .sites = {"a", "b"}, .n_sites = 2};
+	struct fl_run run = {.parts = 4,
+	                     .cpus = 1,
+	                     .ram_gb = 1,
+	                     .tier = FL_STANDARD,
+	                     .n_host_kinds = -1,
+	                     .due_s = -1};
+	struct fixture *f = calloc(1, sizeof(*f));
+	struct fl_books *b;
+
+	assert_non_null(f);
+	b = &f->node.books;
+	f->node.config = &f->config;
+	f->config.lease_s = 10;
+	f->config.report_s = 2;
+	f->config.cancel_s = 40;
+	f->config.value_kb = 4;
+	strcpy(f->config.node, "n0");
+	strcpy(f->config.location, "a");
+	fl_names_add(&b->zones, "a");
+	fl_names_add(&b->zones, "b");
+	fl_kinds_set(&b->machines, &b->zones, &kind, 1);
+	strcpy(b->teams.at[0].name, "team");
+	b->teams.n = 1;
+	strcpy(run.ref, "run-000001");
+	strcpy(run.owner, "team");
+	strcpy(run.job_class, "c");
+	strcpy(run.bundle, "i");
+	f->job = fl_job_add(b, &run, 0, 1);
+	lead(f, EPOCH);
+	*state = f;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_kept *k, *tmp;
+
+	HASH_ITER (hh, f->node.keeper.kept, k, tmp) {
+		HASH_DEL(f->node.keeper.kept, k);
+		free(k->text);
+		free(k);
+	}
+	while (f->node.keeper.sent_home) {
+		struct fl_sent_home *s = f->node.keeper.sent_home;
+
+		HASH_DEL(f->node.keeper.sent_home, s);
+		free(s);
+	}
+	fl_books_free(&f->node.books);
+	free(f);
+	return 0;
+}
+
+static struct fl_report report(uint64_t tenure, uint64_t serial, uint64_t epoch,
+                               struct fl_part *parts, int n)
+{
+	struct fl_report r = {.tenure = tenure,
+	                      .serial = serial,
+	                      .epoch = epoch,
+	                      .reclaim_in_s = -1,
+	                      .parts = parts,
+	                      .n_parts = n};
+
+	strcpy(r.host, "m-000001");
+	strcpy(r.endpoint, "127.0.0.1:1");
+	strcpy(r.kind, "g");
+	strcpy(r.site, "a");
+	return r;
+}
+
+/* Hands a report in; the number of orders in its answer, or the refusal. */
+static int hear(struct fixture *f, struct fl_report r, enum fl_way way)
+{
+	struct fl_orders orders;
+	int rc, n;
+
+	fl_orders_init(&orders, f->node.lease.epoch);
+	rc = fl_reconcile_report(&f->node, &r, way == FL_WAY_REPORT ? &orders : NULL, way);
+	n = orders.n;
+	cJSON_Delete(orders.root);
+	return rc ? rc : n;
+}
+
+static struct fl_machine *machine(struct fixture *f)
+{
+	return fl_machine_find(&f->node.books.machines, "m-000001");
+}
+
+/* The machine has waited: its last answer was given so long ago. */
+static void ago(struct fixture *f, double seconds) { machine(f)->answered = fl_now() - seconds; }
+
+static struct fl_task *place(struct fixture *f, uint32_t index)
+{
+	assert_int_equal(fl_task_place(&f->node.books, f->job, index, machine(f),
+	                               f->node.lease.epoch, fl_now()),
+	                 0);
+	fl_job_chunk(f->job, 0)->saved_gen = fl_job_chunk(f->job, 0)->gen;
+	return fl_task_peek(f->job, index);
+}
+
+static struct fl_part running(uint32_t index, uint32_t attempt)
+{
+	struct fl_part p = {.index = index, .attempt = attempt, .state = FL_EXECUTING};
+
+	strcpy(p.ref, "run-000001");
+	return p;
+}
+
+/* Reports come, answers do not arrive: the launch shows no effect, however often it is ordered. */
+static void a_deaf_machine_gets_nothing_new_and_loses_nothing_early(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_task *t;
+	int launches = 0;
+
+	assert_int_equal(hear(f, report(1, 1, EPOCH, NULL, 0), FL_WAY_REPORT), 0);
+	t = place(f, 0);
+	for (uint64_t serial = 2; serial < 5; serial++) {
+		ago(f, 5);
+		launches += hear(f, report(1, serial, EPOCH, NULL, 0), FL_WAY_REPORT);
+	}
+	assert_int_equal(launches, 3);
+	assert_true(fl_hearing_doubted(machine(f)));
+	/* Silence counts from the first unheard answer, though it reported a moment ago. */
+	assert_true(fl_hearing_lost_at(machine(f)) < fl_now() - 4);
+	/* Its attempt may have been launched all the same: only a proof frees it. */
+	assert_int_equal(t->phase, FL_TASK_PLACED);
+	assert_int_equal(f->job->n_waiting, 3);
+	ago(f, 5);
+	assert_int_equal(hear(f, report(2, 5, EPOCH, NULL, 0), FL_WAY_REPORT), 0);
+	assert_int_equal(t->phase, FL_TASK_WAITING);
+	assert_int_equal(f->job->n_waiting, 4);
+	assert_true(fl_hearing_doubted(machine(f)));
+	/* Gone for good: its work is free once, and a later report changes nothing. */
+	fl_reconcile_gone(&f->node, machine(f), "returned");
+	assert_int_equal(hear(f, report(2, 6, EPOCH, NULL, 0), FL_WAY_REPORT), -ENOENT);
+	assert_int_equal(f->job->n_waiting, 4);
+}
+
+/* With nothing to do, only its ending sessions and its patience show that it is deaf. */
+static void an_idle_deaf_machine_is_found_too(void **state)
+{
+	struct fixture *f = *state;
+
+	assert_int_equal(hear(f, report(1, 1, EPOCH, NULL, 0), FL_WAY_REPORT), 0);
+	assert_false(fl_hearing_doubted(machine(f)));
+	/* A worker that had its answer reports within seconds; this one waited it out. */
+	ago(f, 5);
+	hear(f, report(1, 2, EPOCH, NULL, 0), FL_WAY_REPORT);
+	assert_true(fl_hearing_doubted(machine(f)));
+	for (uint64_t tenure = 2; tenure < 4; tenure++) {
+		ago(f, 5);
+		hear(f, report(tenure, 10 * tenure, EPOCH, NULL, 0), FL_WAY_REPORT);
+	}
+	assert_true(fl_hearing_lost_at(machine(f)) < INFINITY);
+	/* Once it answers a command itself, all is well again. */
+	hear(f, report(3, 31, EPOCH, NULL, 0), FL_WAY_COMMAND);
+	assert_true(fl_hearing_lost_at(machine(f)) == INFINITY);
+}
+
+static void one_lost_answer_is_no_deafness(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_part p = running(0, 1);
+	struct fl_task *t;
+
+	hear(f, report(1, 1, EPOCH, NULL, 0), FL_WAY_REPORT);
+	t = place(f, 0);
+	assert_int_equal(hear(f, report(1, 2, EPOCH, NULL, 0), FL_WAY_REPORT), 1);
+	ago(f, 1);
+	assert_int_equal(hear(f, report(1, 3, EPOCH, NULL, 0), FL_WAY_REPORT), 1);
+	assert_false(fl_hearing_doubted(machine(f)));
+	ago(f, 1);
+	hear(f, report(1, 4, EPOCH, &p, 1), FL_WAY_REPORT);
+	assert_int_equal(machine(f)->unheard, 0);
+	assert_int_equal(t->sight, FL_SEEN_RUNNING);
+	/* A longer pause, as after an outage, is over with the next prompt report. */
+	ago(f, 6);
+	hear(f, report(1, 5, EPOCH, &p, 1), FL_WAY_REPORT);
+	assert_true(fl_hearing_doubted(machine(f)));
+	ago(f, 2);
+	hear(f, report(1, 6, EPOCH, &p, 1), FL_WAY_REPORT);
+	assert_false(fl_hearing_doubted(machine(f)));
+}
+
+/* Across a takeover nothing is known that would show a copy to be old, except its epoch. */
+static void a_late_copy_after_a_takeover_is_answered_and_nothing_else(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_part p = running(0, 1);
+	struct fl_task *t;
+
+	/* A machine that the leader before returned: no record, no list names it any more. */
+	assert_int_equal(hear(f, report(1, 50, EPOCH - 1, &p, 1), FL_WAY_REPORT), 0);
+	assert_null(machine(f));
+	assert_int_equal(hear(f, report(1, 50, EPOCH - 1, &p, 1), FL_WAY_HEARSAY), 0);
+	assert_null(machine(f));
+	/* One that is known from a record: the copy neither shows life nor what is absent. */
+	fl_books_describe(&f->node.books,
+	                  fl_machine_get(&f->node.books.machines, "m-000001", fl_now()), 0, 0,
+	                  false, "x");
+	assert_int_equal(fl_task_restore(&f->node.books, f->job, 1, 3, machine(f), 1, 0, fl_now()),
+	                 0);
+	t = fl_task_peek(f->job, 1);
+	t->stop = FL_STOP_PREEMPT;
+	assert_int_equal(hear(f, report(9, 50, EPOCH - 1, &p, 1), FL_WAY_REPORT), 0);
+	assert_false(machine(f)->up);
+	assert_true(machine(f)->heard == 0);
+	assert_int_equal(t->phase, FL_TASK_PLACED);
+	/* The worker itself has seen the answer and reports with the epoch: now it counts. */
+	assert_int_equal(hear(f, report(1, 70, EPOCH, NULL, 0), FL_WAY_REPORT), 0);
+	assert_true(machine(f)->up);
+	assert_int_equal(t->phase, FL_TASK_WAITING);
+}
+
+static void a_late_copy_within_a_leadership_changes_nothing(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_part p = running(0, 1);
+	double heard;
+
+	hear(f, report(2, 10, EPOCH, NULL, 0), FL_WAY_REPORT);
+	place(f, 0);
+	hear(f, report(2, 12, EPOCH, &p, 1), FL_WAY_REPORT);
+	machine(f)->heard = machine(f)->reached = heard = fl_now() - 30;
+	for (int way = FL_WAY_REPORT; way <= FL_WAY_HEARSAY; way++) {
+		/* Older, of the same number, and of an earlier session with a higher number. */
+		assert_int_equal(hear(f, report(2, 11, EPOCH, NULL, 0), (enum fl_way)way), 0);
+		assert_int_equal(hear(f, report(2, 12, EPOCH, &p, 1), (enum fl_way)way), 0);
+		assert_int_equal(hear(f, report(1, 99, EPOCH, NULL, 0), (enum fl_way)way), 0);
+	}
+	assert_true(machine(f)->heard == heard && machine(f)->reached == heard);
+	assert_int_equal(f->job->n_placed, 1);
+	fl_reconcile_gone(&f->node, machine(f), "test");
+	assert_int_equal(hear(f, report(2, 13, EPOCH, &p, 1), FL_WAY_REPORT), -ENOENT);
+	assert_true(machine(f)->gone && !machine(f)->up);
+}
+
+/*
+ * Found by the random walk: an answer with a launch is on its way when the task is stopped. The
+ * reply to the stop lacks the task, since the worker has not had the answer yet.
+ */
+static void a_reply_that_overtakes_an_answer_proves_no_absence(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_task *t;
+
+	hear(f, report(1, 1, EPOCH, NULL, 0), FL_WAY_REPORT);
+	t = place(f, 0);
+	assert_int_equal(hear(f, report(1, 2, EPOCH, NULL, 0), FL_WAY_REPORT), 1);
+	t->stop = FL_STOP_PREEMPT;
+	hear(f, report(1, 3, EPOCH, NULL, 0), FL_WAY_COMMAND);
+	assert_int_equal(t->phase, FL_TASK_PLACED);
+	/* Its own next report is sent when the answer has been carried out or dropped. */
+	hear(f, report(1, 4, EPOCH, NULL, 0), FL_WAY_REPORT);
+	assert_int_equal(t->phase, FL_TASK_WAITING);
+}
+
+/* ---- a node that does not lead ---- */
+
+static void follow(struct fixture *f, int peers)
+{
+	struct fl_node *n = &f->node;
+
+	n->lease.held = n->lead.active = n->books.leading = false;
+	n->kinds_known = n->jobs_known = true;
+	strcpy(n->leader, "n1");
+	n->n_peers = peers;
+	for (int i = 0; i < peers; i++) {
+		snprintf(n->peers[i].name, sizeof(n->peers[i].name), "n%d", i + 1);
+		strcpy(n->peers[i].location, "b");
+		n->peers[i].heard_at = -1e9;
+	}
+	n->state.last_ok = fl_now();
+	n->state.last_refusal = -1e9;
+}
+
+static struct fl_response call(struct fixture *f, enum fl_user_call what, const char *ref,
+                               const char *body)
+{
+	struct fl_response resp = {.status = 500};
+
+	fl_node_user_call(&f->node, what, ref, body, body ? strlen(body) : 0, FL_FIRST_HOP, &resp);
+	return resp;
+}
+
+static int send_report(struct fixture *f, struct fl_report r, char *to)
+{
+	char *text = fl_report_encode(&r);
+	struct fl_response resp = call(f, FL_CALL_REPORT, NULL, text);
+	cJSON *o = resp.body ? fl_json_parse(resp.body, strlen(resp.body)) : NULL;
+
+	if (to && fl_json_str(o, "Steward", to, FL_NAME_MAX) != FL_FIELD_OK)
+		to[0] = 0;
+	cJSON_Delete(o);
+	free(resp.body);
+	free(text);
+	return resp.status;
+}
+
+/* A copy that comes to a keeper late takes no newer report's place, nor makes it look fresh. */
+static void a_keeper_keeps_the_newest_report(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_part p = running(0, 1);
+	struct fl_kept *k;
+	double at;
+
+	follow(f, 0);
+	assert_int_equal(send_report(f, report(1, 20, EPOCH, &p, 1), NULL), 200);
+	k = f->node.keeper.kept;
+	assert_non_null(k);
+	k->at = at = fl_now() - 9;
+	k->stored = true;
+	assert_int_equal(send_report(f, report(1, 19, EPOCH, NULL, 0), NULL), 200);
+	assert_int_equal(send_report(f, report(1, 20, EPOCH, &p, 1), NULL), 200);
+	assert_true(k->serial == 20 && k->at == at && k->stored);
+	assert_int_equal(send_report(f, report(2, 3, EPOCH, NULL, 0), NULL), 200);
+	assert_true(k->tenure == 2 && k->serial == 3 && !k->stored);
+}
+
+/* What goes through the state service says the same of a machine as its report did. */
+static void a_kept_report_survives_its_short_form(void **state)
+{
+	static const char *const bad[] = {"[]",
+	                                  "[\"m\",1,2,3,-1]",
+	                                  "[\"m\",1,2,-3,-1,[]]",
+	                                  "[\"m\",1,2,3,-1,[[\"run-000001\",0,1]]]",
+	                                  "[\"m\",1,2,3,-1,[[\"run-000001\",0,1,9]]]",
+	                                  "[\"\",1,2,3,-1,[]]",
+	                                  "[\"m\",1,2,3,-1,[[\"run-000001\",100000,1,0]]]",
+	                                  "{\"m\":1}"};
+	struct fl_part parts[2] = {running(3, 2), running(1, 1)};
+	struct fl_report r = report(4, 5, 6, parts, 2), back;
+	char *text;
+	cJSON *e;
+
+	(void)state;
+	parts[1].state = FL_ENDED;
+	parts[1].exit = FL_EXIT_DONE;
+	r.reclaim_in_s = 12.5;
+	text = fl_kept_encode(&r);
+	e = fl_json_parse(text, strlen(text));
+	assert_int_equal(fl_kept_decode(e, &back), 0);
+	assert_string_equal(back.host, r.host);
+	assert_true(back.tenure == 4 && back.serial == 5 && back.epoch == 6);
+	assert_true(back.reclaim_in_s == 12.5 && back.n_parts == 2);
+	assert_int_equal(back.parts[0].state, FL_EXECUTING);
+	assert_int_equal(back.parts[0].index, 3);
+	assert_int_equal(back.parts[1].exit, FL_EXIT_DONE);
+	fl_report_free(&back);
+	cJSON_Delete(e);
+	/* Hundreds of machines share the writes: twenty must fit into the smallest value. */
+	assert_in_range(strlen(text), 1, 150);
+	free(text);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		e = fl_json_parse(bad[i], strlen(bad[i]));
+		assert_non_null(e);
+		assert_int_not_equal(fl_kept_decode(e, &back), 0);
+		cJSON_Delete(e);
+	}
+}
+
+static void lose_all(struct fixture *f, double for_s)
+{
+	double now = fl_now();
+
+	f->node.state.last_ok = now - for_s;
+	f->node.state.last_refusal = now;
+	for (int i = 0; i < f->node.n_peers; i++) {
+		f->node.peers[i].up = false;
+		f->node.peers[i].heard_at = now - for_s;
+	}
+	f->node.probed_at = now;
+	f->node.proof_at = now - for_s;
+}
+
+/* State service and other controllers are lost, the workers are not. */
+static void a_node_alone_sends_its_workers_away_once(void **state)
+{
+	struct fixture *f = *state;
+	char first[FL_NAME_MAX], second[FL_NAME_MAX];
+	struct fl_report r = report(1, 20, EPOCH, NULL, 0);
+
+	follow(f, 4);
+	lose_all(f, 3);
+	assert_true(fl_keeper_alone(&f->node));
+	/* The second worker goes elsewhere than the first: none of them is known to be well. */
+	assert_int_equal(send_report(f, r, first), 421);
+	strcpy(r.host, "m-000002");
+	assert_int_equal(send_report(f, r, second), 421);
+	assert_true(first[0] && second[0] && strcmp(first, second) != 0);
+	/* It found nobody there and is back within its lease: now it is kept. */
+	r.serial++;
+	assert_int_equal(send_report(f, r, NULL), 200);
+	/* But only while the proof holds: a cancelled job's tasks must end all the same. */
+	lose_all(f, f->config.cancel_s - f->config.lease_s);
+	f->node.keeper.refreshed_at = fl_now();
+	r.serial++;
+	assert_int_equal(send_report(f, r, NULL), 503);
+}
+
+/* Its zone is cut off with it, or it is the last one alive: its workers can go nowhere else. */
+static void a_node_cut_off_with_its_workers_keeps_them(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_report r = report(1, 20, EPOCH, NULL, 0);
+
+	follow(f, 4);
+	lose_all(f, 3);
+	f->node.probed_at = fl_now() - 10;
+	assert_int_equal(send_report(f, r, NULL), 200);
+	/* The others died long before the state service failed. */
+	lose_all(f, 3);
+	for (int i = 0; i < 4; i++)
+		f->node.peers[i].heard_at -= 20;
+	r.serial++;
+	assert_int_equal(send_report(f, r, NULL), 200);
+	/* An outage alone, with peers in reach, is not being alone. */
+	f->node.peers[2].up = true;
+	assert_false(fl_keeper_alone(&f->node));
+}
+
+/* Users of a node that is alone are told so at once, and the balancer too. */
+static void a_node_alone_says_so(void **state)
+{
+	static const char job[] =
+		"{\"Ref\":\"run-000099\",\"JobClass\":\"c\",\"Owner\":\"team\",\"JobKind\":"
+	        "\"sweep\","
+		"\"Tier\":\"standard\",\"Parts\":1,\"Vcpus\":1,\"Accelerators\":0,\"RamGb\":1,"
+		"\"Bundle\":\"i\",\"ImageGb\":1,\"HostKinds\":null,\"Site\":null,\"Together\":"
+	        "false,"
+		"\"Apart\":false,\"Reclaimable\":true,\"ExpectedS\":1,\"SnapshotEveryS\":0,"
+		"\"SnapshotCostS\":0,\"DueS\":null}";
+	static const struct {
+		enum fl_user_call call;
+		const char *body;
+	} asks[] = {{FL_CALL_SUBMIT, job}, {FL_CALL_POLL, NULL}, {FL_CALL_CANCEL, NULL}};
+	struct fixture *f = *state;
+	struct fl_response resp;
+
+	follow(f, 4);
+	assert_int_equal(call(f, FL_CALL_READY, NULL, NULL).status, 200);
+	lose_all(f, 3);
+	assert_int_equal(call(f, FL_CALL_READY, NULL, NULL).status, 503);
+	for (size_t i = 0; i < sizeof(asks) / sizeof(asks[0]); i++) {
+		/* There is no routine here to wait in: any try at a connection would fail the test.
+		 */
+		resp = call(f, asks[i].call, "run-000001", asks[i].body);
+		assert_int_equal(resp.status, 503);
+		assert_true(resp.retry_after_s > 0 && resp.close);
+		free(resp.body);
+	}
+	/* What is over is known for good, by any node. */
+	fl_final_add(&f->node.books, "run-000050", FL_DONE, 2);
+	resp = call(f, FL_CALL_POLL, "run-000050", NULL);
+	assert_int_equal(resp.status, 200);
+	free(resp.body);
+	/* Back, it is as before. */
+	f->node.peers[0].up = true;
+	f->node.state.last_ok = fl_now() + 1;
+	assert_int_equal(call(f, FL_CALL_READY, NULL, NULL).status, 200);
+}
+
+#define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		T(a_deaf_machine_gets_nothing_new_and_loses_nothing_early),
+		T(an_idle_deaf_machine_is_found_too),
+		T(one_lost_answer_is_no_deafness),
+		T(a_late_copy_after_a_takeover_is_answered_and_nothing_else),
+		T(a_late_copy_within_a_leadership_changes_nothing),
+		T(a_reply_that_overtakes_an_answer_proves_no_absence),
+		T(a_keeper_keeps_the_newest_report),
+		T(a_kept_report_survives_its_short_form),
+		T(a_node_alone_sends_its_workers_away_once),
+		T(a_node_cut_off_with_its_workers_keeps_them),
+		T(a_node_alone_says_so),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_reconcile.c
+++ b/tests/test_reconcile.c
@@ -293,15 +293,15 @@
 	}
 }
 
-static void leader_hears(struct world *w, int at, const char *text, bool answered)
+static void leader_hears(struct world *w, int at, const char *text, enum fl_way way)
 {
 	struct fl_orders orders;
 	struct fl_report r;
 
 	assert_int_equal(fl_report_decode(text, strlen(text), &r), 0);
 	fl_orders_init(&orders, w->node.lease.epoch);
-	if (fl_reconcile_report(&w->node, &r, answered ? &orders : NULL, answered) == 0 &&
-	    answered) {
+	if (fl_reconcile_report(&w->node, &r, way == FL_WAY_REPORT ? &orders : NULL, way) == 0 &&
+	    way == FL_WAY_REPORT) {
 		drop_answer(&w->worker[at]);
 		w->worker[at].answer = fl_orders_take(&orders);
 	} else {
@@ -343,7 +343,7 @@
 		if (pick(w, 2)) {
 			char *r = report_text(w, at);
 
-			leader_hears(w, at, r, false);
+			leader_hears(w, at, r, FL_WAY_COMMAND);
 			free(r);
 		}
 	}
@@ -361,7 +361,7 @@
 	if (m->command)
 		execute(w, m->worker, m->text, true);
 	else
-		leader_hears(w, m->worker, m->text, false);
+		leader_hears(w, m->worker, m->text, FL_WAY_HEARSAY);
 }
 
 /* ---- what happens ---- */
@@ -377,7 +377,7 @@
 	drop_answer(k);
 	text = report_text(w, at);
 	if (pick(w, 5))
-		leader_hears(w, at, text, true);
+		leader_hears(w, at, text, FL_WAY_REPORT);
 	post(w, at, text, false);
 }
 
@@ -668,7 +668,7 @@
 		p.attempt = fl_task_peek(job, p.index)->attempt;
 		r.parts = &p;
 		r.n_parts = 1;
-		assert_int_equal(fl_reconcile_report(&w->node, &r, NULL, true), 0);
+		assert_int_equal(fl_reconcile_report(&w->node, &r, NULL, FL_WAY_COMMAND), 0);
 		assert_true(m->avoid_until <= now);
 		assert_true(i < 4 || job->not_before >= last);
 		last = job->not_before;
