Nothing is passed over without end: a foothold for what waits past its patience

Cause, found by reading and shown by a test that besieges the pass: by the product alone a wide, long job needs fifteen times the wait of a small, short one, an owed stream passes over all that is not owed, and standard work stops best effort for ever. Waiting weighs more past 120 s, an array with nothing running or done goes first for one task, and only urgent work stops the only task of such a job.

--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -11,6 +11,8 @@
 	.r = 10,       /* one tier is worth ten times the wait */
 	.omega = 4,    /* the finite value that did best in the paper's tables */
 	.default_est_s = 3600,
+	.patience_s = 120, /* half of what users grant the largest job before it begins */
+	.impatience = 4,   /* power; at twice the patience it outweighs all but the tier */
 };
 
 static const struct {
@@ -42,18 +44,36 @@
 
 	if (n <= 0)
 		n = 1;
-	return pow(wait / 3600, p->alpha) * pow(est / 3600, p->beta) * pow(n / 32, p->gamma) *
-	       pow(p->r, (int)j->tier - 1);
+	/*
+	 * By the product alone a wide, long job waits for ever behind a stream of small ones: it
+	 * needs as many times their wait as it is wider and longer. The wait's own weight therefore
+	 * grows.
+	 */
+	return pow(wait / 3600, p->alpha) * (1 + pow(wait / p->patience_s, p->impatience)) *
+	       pow(est / 3600, p->beta) * pow(n / 32, p->gamma) * pow(p->r, (int)j->tier - 1);
 }
 
 /* A service that may stop others goes ahead of them: placing it first saves the stop. */
 static bool ahead(const struct fl_sched_job *j) { return j->standing && j->tier >= FL_URGENT; }
 
+/*
+ * Nothing is passed over without end, however hostile what comes after it: an array that has not
+ * begun within the patience goes before other arrays, for one task. That costs little room, so it
+ * holds in any overload; how fast the rest follows is left to the order.
+ */
+static bool overdue(const struct fl_sched_params *p, const struct fl_sched_job *j)
+{
+	return !j->standing && !j->begun && j->waited_s > p->patience_s;
+}
+
 /*
  * What may stop others to get its room goes before those it may stop. Else the room that a stop
  * has freed is taken by the next in the order, and the stops go on without end.
  */
-static int rank_of(const struct fl_sched_job *j) { return ahead(j) ? 2 : j->owed; }
+static int rank_of(const struct fl_sched_params *p, const struct fl_sched_job *j)
+{
+	return ahead(j) ? 3 : overdue(p, j) ? 2 : j->owed;
+}
 
 static int by_priority(const void *pa, const void *pb, void *ctx)
 {
@@ -230,8 +250,9 @@
 {
 	struct fl_sched_job *j = &p->in->jobs[job];
 	int zone = pick_zone(p->in, j);
+	uint32_t leave = overdue(p->in->params, j) && !j->whole ? j->waiting - 1 : 0;
 
-	while (j->waiting > 0 && !p->failed) {
+	while (j->waiting > leave && !p->failed) {
 		int m;
 
 		if (!team_ok(p->in, j))
@@ -261,7 +282,7 @@
 {
 	const struct fl_team *t;
 
-	if (r->stopping || !r->movable)
+	if (r->stopping || !r->movable || (r->foothold && j->tier < FL_URGENT))
 		return false;
 	if (r->tier < j->tier)
 		return true;
@@ -617,7 +638,7 @@
 	}
 	for (int i = 0; i < in->n_jobs; i++) {
 		p.order[i] = i;
-		p.rank[i] = rank_of(&in->jobs[i]);
+		p.rank[i] = rank_of(in->params, &in->jobs[i]);
 		p.priority[i] = fl_sched_priority(in->params, &in->jobs[i]);
 	}
 	qsort_r(p.order, (size_t)in->n_jobs, sizeof(*p.order), by_priority, &p);
--- a/src/coordination/schedule.h
+++ b/src/coordination/schedule.h
@@ -15,6 +15,8 @@
 struct fl_sched_params {
 	double alpha, beta, gamma, r, omega; /* the paper's */
 	double default_est_s;                /* for jobs with no estimate */
+	double patience_s;                   /* past it, waiting weighs more and more */
+	double impatience;                   /* power of what it then weighs more */
 };
 
 extern const struct fl_sched_params fl_sched_defaults;
@@ -30,7 +32,8 @@
 	uint32_t kinds;
 	int site;
 	bool together, apart, reclaimable;
-	bool owed; /* fits its team's guarantee together with the team's earlier jobs */
+	bool owed;  /* fits its team's guarantee together with the team's earlier jobs */
+	bool begun; /* some task of it runs, or is done */
 	uint32_t zone_placed[FL_ZONES_MAX], zone_unknown;
 	int bundle;
 	double window_left; /* remembered backfill window, s; < 0: none yet */
@@ -50,6 +53,7 @@
 	int machine, team;
 	enum fl_tier tier;
 	bool standing, stopping, movable; /* movable: may be chosen as a victim at all */
+	bool foothold; /* all that a job past its patience has: only urgent work stops it */
 	double cpus, gpus, ram_gb;
 	double left_s; /* by its estimate; INFINITY for a service */
 	double lost_s; /* work that a stop would lose */
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -476,10 +476,10 @@
 {
 	static const char job[] =
 		"{\"Ref\":\"run-000099\",\"JobClass\":\"c\",\"Owner\":\"team\",\"JobKind\":"
-	        "\"sweep\","
+		"\"sweep\","
 		"\"Tier\":\"standard\",\"Parts\":1,\"Vcpus\":1,\"Accelerators\":0,\"RamGb\":1,"
 		"\"Bundle\":\"i\",\"ImageGb\":1,\"HostKinds\":null,\"Site\":null,\"Together\":"
-	        "false,"
+		"false,"
 		"\"Apart\":false,\"Reclaimable\":true,\"ExpectedS\":1,\"SnapshotEveryS\":0,"
 		"\"SnapshotCostS\":0,\"DueS\":null}";
 	static const struct {
--- a/tests/test_schedule.c
+++ b/tests/test_schedule.c
@@ -146,8 +146,9 @@
 	struct model before = *m;
 	int zone = m_zone_choice(m, j);
 	bool no_room = false;
+	bool one = !j->standing && !j->begun && j->waited_s > 120 && !j->whole;
 
-	while (j->waiting > 0) {
+	for (uint32_t all = j->waiting; j->waiting > 0 && !(one && j->waiting < all);) {
 		int best = -1;
 
 		if (!m_team(m, j))
@@ -188,6 +189,8 @@
 
 	if (r->stopping || !r->movable)
 		return false;
+	if (r->foothold && j->tier != FL_URGENT && j->tier != FL_CRITICAL)
+		return false;
 	if (r->tier < j->tier)
 		return true;
 	return owed && r->team != j->team && !r->standing &&
@@ -351,10 +354,13 @@
 
 		for (int i = 0; i < m->w.n_jobs; i++) {
 			const struct fl_sched_job *c = &m->w.jobs[i];
-			int rank = c->standing && c->tier >= FL_URGENT ? 2 : c->owed ? 1 : 0;
+			int rank = c->standing && c->tier >= FL_URGENT              ? 3
+			           : !c->standing && !c->begun && c->waited_s > 120 ? 2
+			           : c->owed                                        ? 1
+			                                                            : 0;
 			double wait = fmax(c->waited_s, 0.1), est = c->est_s > 0 ? c->est_s : 3600;
 			double tier[] = {0.1, 1, 10, 100};
-			double p = wait / 3600 * pow(est / 3600, -1) *
+			double p = wait / 3600 * (1 + pow(wait / 120, 4)) * (3600 / est) *
 			           (1 / sqrt(c->cpus * c->parts / 32)) * tier[c->tier];
 
 			if (looked[i])
@@ -371,7 +377,7 @@
 		j = &m->w.jobs[next];
 		if (j->waiting == 0)
 			continue;
-		first = next_rank == 2;
+		first = next_rank == 3;
 		backfill = m->top >= 0 && !first;
 		no_room = m_start(m, next, backfill ? until : NULL,
 		                  j->standing && j->est_s <= 0 ? INFINITY
@@ -429,6 +435,7 @@
 		r.standing = pick(g, 3) == 0;
 		r.stopping = pick(g, 6) == 0;
 		r.movable = !r.stopping;
+		r.foothold = !r.standing && pick(g, 3) == 0;
 		r.cpus = 1 + pick(g, 6);
 		r.gpus = pick(g, 3);
 		r.ram_gb = 4 + pick(g, 12);
@@ -451,6 +458,7 @@
 		j->tier = (enum fl_tier)pick(g, 4);
 		j->team = (int)pick(g, T);
 		j->owed = pick(g, 3) == 0;
+		j->begun = pick(g, 2) > 0;
 		j->waited_s = pick(g, 300) + 0.01 * i;
 		j->est_s = j->standing || pick(g, 8) == 0 ? 0 : 10 + pick(g, 300);
 		j->cpus = 1 + pick(g, 6);
@@ -705,10 +713,187 @@
 		assert_true(started[i]);
 }
 
+/* ---- hostile arrivals: nothing is passed over without end ---- */
+
+enum { QUEUE = 800, SLOTS = 32, SECONDS = 900, CLASSES = 3 };
+
+struct stream {
+	enum fl_tier tier;
+	int team;
+	bool owed;
+	uint32_t parts;
+	double est, every; /* s of a task; s between two jobs */
+};
+
+struct arrival {
+	struct fl_sched_job job;
+	int class;
+	double at, begun; /* begun < 0: not yet */
+	uint32_t started;
+};
+
+struct siege {
+	struct arrival arrival[QUEUE];
+	int n, running[SLOTS]; /* the job that holds each slot, -1: none */
+	double until[SLOTS];
+};
+
+/* Runs `SLOTS` one-task machines under the streams; each job's begin and starts are noted. */
+static void besiege(struct siege *s, const struct stream *streams, const struct fl_team *teams)
+{
+	static struct fl_sched_machine machines[SLOTS];
+	static struct fl_sched_run runs[SLOTS];
+	static struct fl_sched_job jobs[QUEUE];
+	static int of_job[QUEUE], of_run[SLOTS];
+	double next[CLASSES] = {0};
+
+	memset(s, 0, sizeof(*s));
+	for (int i = 0; i < SLOTS; i++)
+		s->running[i] = -1;
+	for (int now = 0; now < SECONDS; now++) {
+		struct fl_sched_in in = {.params = &fl_sched_defaults,
+		                         .jobs = jobs,
+		                         .machines = machines,
+		                         .n_machines = SLOTS,
+		                         .runs = runs};
+		struct fl_team used[T];
+		struct fl_sched_out out;
+
+		for (int c = 0; c < CLASSES; c++) {
+			const struct stream *st = &streams[c];
+
+			for (; st->parts && next[c] <= now && s->n < QUEUE; next[c] += st->every) {
+				struct arrival *a = &s->arrival[s->n++];
+
+				a->job = plain_job(1, st->parts, st->est, 0);
+				a->job.tier = st->tier;
+				a->job.team = st->team;
+				a->job.owed = st->owed;
+				a->class = c;
+				a->at = next[c];
+				a->begun = -1;
+			}
+		}
+		memcpy(used, teams, sizeof(used));
+		in.teams = used;
+		for (int i = 0; i < SLOTS; i++) {
+			machines[i] = plain_machine(1);
+			if (s->running[i] >= 0 && s->until[i] <= now)
+				s->running[i] = -1;
+			if (s->running[i] < 0)
+				continue;
+			machines[i].cpus = 0;
+			runs[in.n_runs] = plain_run(i, 1, s->until[i] - now);
+			runs[in.n_runs].tier = s->arrival[s->running[i]].job.tier;
+			runs[in.n_runs].team = s->arrival[s->running[i]].job.team;
+			runs[in.n_runs].lost_s = 1;
+			of_run[in.n_runs++] = i;
+			used[runs[in.n_runs - 1].team].used_cpus += 1;
+		}
+		for (int i = 0; i < s->n; i++) {
+			if (s->arrival[i].job.waiting == 0)
+				continue;
+			jobs[in.n_jobs] = s->arrival[i].job;
+			jobs[in.n_jobs].waited_s = now - s->arrival[i].at;
+			jobs[in.n_jobs].begun = s->arrival[i].started > 0;
+			of_job[in.n_jobs++] = i;
+		}
+		for (int r = 0; r < in.n_runs; r++) {
+			const struct arrival *a = &s->arrival[s->running[of_run[r]]];
+			int held = 0;
+
+			for (int i = 0; i < SLOTS; i++)
+				held += s->running[i] == s->running[of_run[r]];
+			runs[r].foothold = held == 1 && now - a->at > fl_sched_defaults.patience_s;
+		}
+		assert_int_equal(fl_schedule(&in, &out), 0);
+		for (int k = 0; k < out.n_starts; k++) {
+			struct arrival *a = &s->arrival[of_job[out.starts[k].job]];
+			int slot = out.starts[k].machine;
+
+			assert_int_equal(s->running[slot], -1);
+			s->running[slot] = of_job[out.starts[k].job];
+			s->until[slot] = now + a->job.est_s;
+			a->job.waiting--;
+			a->started++;
+			if (a->begun < 0)
+				a->begun = now;
+		}
+		for (int k = 0; k < out.n_stops; k++) {
+			int slot = of_run[out.stops[k]];
+			struct arrival *a = &s->arrival[s->running[slot]];
+
+			a->job.waiting++;
+			a->started--;
+			s->running[slot] = -1;
+		}
+		fl_sched_free(&out);
+	}
+}
+
+/* Every job that came early enough has begun within the users' four minutes. */
+static void check_begun(const struct siege *s)
+{
+	for (int i = 0; i < s->n; i++) {
+		const struct arrival *a = &s->arrival[i];
+
+		if (a->at > SECONDS - 240)
+			continue;
+		assert_true(a->begun >= 0);
+		assert_true(a->begun - a->at <= 240);
+		/* And what it began with was not taken from it for ever. */
+		assert_true(a->started > 0);
+	}
+}
+
+/* Share of the tasks of a class that were started, of those that came before the last minutes. */
+static double served(const struct siege *s, int class)
+{
+	double started = 0, all = 0;
+
+	for (int i = 0; i < s->n; i++) {
+		if (s->arrival[i].class != class || s->arrival[i].at > SECONDS - 240)
+			continue;
+		started += s->arrival[i].started;
+		all += s->arrival[i].job.parts;
+	}
+	return all > 0 ? started / all : 1;
+}
+
+static void hostile_arrivals_pass_nothing_over(void **state)
+{
+	static const struct fl_team teams[T] = {{.cpus = 64}, {.cpus_max = 0}, {.cpus_max = 0}};
+	/* 32 slots. A stream of small jobs that fills nearly all of them, and ever more wide ones.
+	 */
+	static const struct stream small_and_wide[CLASSES] = {
+		{FL_STANDARD, 1, false, 2, 20, 1.35}, {FL_STANDARD, 2, false, 60, 100, 300}};
+	/* One team within its guarantee fills all; another has none. */
+	static const struct stream owed_and_not[CLASSES] = {{FL_STANDARD, 0, true, 4, 30, 3},
+	                                                    {FL_STANDARD, 1, false, 10, 40, 120}};
+	/* Standard work fills all, and best effort may be stopped for it. */
+	static const struct stream tiers[CLASSES] = {{FL_STANDARD, 1, false, 4, 30, 3},
+	                                             {FL_BEST_EFFORT, 2, false, 10, 40, 120}};
+	struct siege *s = malloc(sizeof(*s));
+
+	(void)state;
+	besiege(s, small_and_wide, teams);
+	assert_true(s->n < QUEUE);
+	check_begun(s);
+	for (int c = 0; c < CLASSES; c++)
+		assert_true(served(s, c) >= 0.5);
+	besiege(s, owed_and_not, teams);
+	assert_true(s->n < QUEUE);
+	check_begun(s);
+	besiege(s, tiers, teams);
+	check_begun(s);
+	free(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(the_pass_decides_like_the_plain_model),
+		cmocka_unit_test(hostile_arrivals_pass_nothing_over),
 		cmocka_unit_test(scattered_room_is_no_room),
 		cmocka_unit_test(a_burst_cannot_push_the_top_job_back_for_ever),
 		cmocka_unit_test(an_ensemble_starts_whole_or_not_at_all),
