A machine that falls silent with its zone's controllers is given up only when their proof is old

Cause: a zone cut for 60 s loses its third of the machines 14.5 s after the cut, though its own controllers keep them for 29 s and a lease; their work starts again on machines that are still to boot, and services that come meanwhile find no room. Ruled out: the reserve (it is full until the cut).

--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -122,7 +122,7 @@
  * A cancellation is answered only after it is stored, so a proof read before it is at most this
  * old when the last keeper refuses; then the worker's own lease ends the tasks within cancel_s.
  */
-static double keep_s(const struct fl_node *n)
+double fl_keeper_keep_s(const struct fl_node *n)
 {
 	const struct fl_config *c = n->config;
 
@@ -132,7 +132,7 @@
 /* Never a lower epoch: the worker would drop it and wait there until its lease ends. */
 static bool has_proof(const struct fl_node *n, uint64_t epoch)
 {
-	return n->epoch > 0 && n->epoch >= epoch && fl_now() - n->proof_at <= keep_s(n);
+	return n->epoch > 0 && n->epoch >= epoch && fl_now() - n->proof_at <= fl_keeper_keep_s(n);
 }
 
 /*
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -63,6 +63,8 @@
 /* Passes a call to the leader, direct or through a third node: 0 and the answer, or an errno. */
 int fl_relay(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
              enum fl_hop hop, double patience_s, struct fl_reply *out);
+/* s after a proof for which a node keeps workers with it. */
+double fl_keeper_keep_s(const struct fl_node *n);
 /*
  * This node hears neither the state service nor any other controller: it can decide nothing, pass
  * nothing on, and nobody can order its workers' machines through it.
--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -25,13 +25,14 @@
 	double silent_extra_s; /* s beyond a worker's lease before a silent machine is returned */
 	double mass_share;     /* share of machines silent at once that points at us, not at them */
 	double mass_leases;    /* leases of silence after which they are returned all the same */
+	double with_zone_s;    /* s within which a machine and its zone's controller fall silent */
 	double soon_boots;     /* boot times within which an ending task's room is waited for */
 	double learn_s;        /* s over which the arrival of services is counted */
 	double reserve_sd;     /* spreads of the arrivals expected while a machine boots, on top */
 	double tombstone_s;    /* s; messages may arrive minutes late */
 	int machines_most;     /* rented in one round */
 	int tries;             /* of one rental that goes unanswered */
-} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.5, 0.4, 3.0, 0.7, 300.0, 2.0, 900.0, 400, 3};
+} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.5, 0.4, 3.0, 5.0, 0.7, 300.0, 2.0, 900.0, 400, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
 struct virtual
@@ -457,10 +458,34 @@
 	return fmin(heard, fl_hearing_lost_at(m));
 }
 
+/*
+ * A zone that is cut off goes on working inside, as long as its controllers have a proof to keep
+ * with. Its machines fall silent together with them, and until then their work is as good as ever:
+ * given up early, it would all start again, on machines that are still to boot.
+ */
+static double kept_by_zone(const struct fl_node *n, const struct fl_machine *m)
+{
+	double last = last_sign(n, m), slack = choice.with_zone_s;
+
+	for (int i = 0; i < n->n_peers; i++) {
+		const struct fl_peer *p = &n->peers[i];
+
+		if (m->zone >= 0 && !p->up &&
+		    strcmp(p->location, fl_names_at(&n->books.zones, m->zone)) == 0 &&
+		    p->heard_at > last - slack && p->heard_at < last + slack)
+			return fl_keeper_keep_s(n);
+	}
+	return 0;
+}
+
 static bool silent(const struct fl_node *n, const struct fl_machine *m, double now, double leases)
 {
-	return (m->up || m->n_slots > 0) &&
-	       now - last_sign(n, m) > leases * n->config->lease_s + choice.silent_extra_s;
+	double allowed;
+
+	if (!m->up && m->n_slots == 0)
+		return false;
+	allowed = fmax(leases * n->config->lease_s, n->config->lease_s + kept_by_zone(n, m));
+	return now - last_sign(n, m) > allowed + choice.silent_extra_s;
 }
 
 /* Many silent at once point at this node's own links: then it takes much longer to give up. */
@@ -474,7 +499,7 @@
 		if (m->gone || (!m->up && m->n_slots == 0))
 			continue;
 		up++;
-		quiet += silent(n, m, now, 1);
+		quiet += now - last_sign(n, m) > n->config->lease_s + choice.silent_extra_s;
 	}
 	return quiet > 2 && quiet > choice.mass_share * up ? choice.mass_leases : 1;
 }
--- a/tests/standins.c
+++ b/tests/standins.c
@@ -49,8 +49,19 @@
 	uint64_t rev, grants;
 	struct fl_signal changed;
 	unsigned requests;
+	double lead_at; /* when the lead was last taken */
 } store;
 
+static uint64_t epoch_in(const char *value)
+{
+	cJSON *v = fl_json_parse(value, strlen(value));
+	uint64_t epoch = 0;
+
+	fl_json_count(v, "epoch", &epoch);
+	cJSON_Delete(v);
+	return epoch;
+}
+
 static void note(const char *name, const char *value)
 {
 	if (store.n_log == store.cap_log) {
@@ -79,10 +90,20 @@
 	free(k);
 }
 
+static void watch_lead(const struct key *old, const char *name, const char *value)
+{
+	if (strcmp(name, "c/lead") == 0)
+		store.lead_at = fl_now();
+	if (strcmp(name, "c/epoch") == 0 && old)
+		standins.epochs_reused += epoch_in(old->value) >= epoch_in(value);
+}
+
 static void put_key(const char *name, char *value, uint64_t grant)
 {
 	struct key *k = find_key(name);
 
+	watch_lead(k, name, value);
+
 	if (!k) {
 		k = calloc(1, sizeof(*k));
 		snprintf(k->name, sizeof(k->name), "%s", name);
@@ -290,6 +311,12 @@
 	} else if (at < 0) {
 		say(resp, 404, NULL);
 	} else if (req->method == HTTP_DELETE) {
+		const struct key *lead = find_key("c/lead");
+		const char *node = standins_leader();
+
+		/* Only a process that followed the holder's may end its lease. */
+		standins.leases_stolen += lead && lead->grant == grant && node[0] == 'n' &&
+		                          standins.started[node[1] - '0'] < store.lead_at;
 		end_hold(at);
 		say(resp, 200, NULL);
 	} else {
@@ -312,6 +339,11 @@
 		follow(query, resp);
 		return;
 	}
+	if (standins.cut_after > 0 && --standins.cut_after == 0) {
+		standins.cut();
+		if (fl_sleep(0.2) != 0)
+			return;
+	}
 	if (nth(standins.state_refuses, at)) {
 		say(resp, 503, NULL);
 		return;
@@ -370,9 +402,42 @@
 	double answered;
 	struct task at[TASKS];
 	int node;
+	bool deaf;
+	unsigned reports;
 	char *late; /* a command to be carried out once more */
 };
 
+struct copy {
+	char *text;
+	int node;
+};
+
+/* Nobody reads the answer. */
+static void copy_routine(void *arg)
+{
+	struct copy *c = arg;
+	struct fl_http_client http;
+	struct fl_reply reply;
+	char addr[32];
+
+	snprintf(addr, sizeof(addr), "127.0.0.1:%d",
+	         standins.controller_ports[c->node % standins.n_controllers]);
+	fl_http_client_init(&http, addr, 0);
+	if (fl_sleep(2 * standins.lease_s) == 0 &&
+	    fl_http_call(&http, "POST", "/hello", c->text, 4.0, &reply) == 0)
+		fl_buf_free(&reply.body);
+	free(c->text);
+	free(c);
+}
+
+static void copy_later(const char *text, int node)
+{
+	struct copy *c = malloc(sizeof(*c));
+
+	*c = (struct copy){strdup(text), node};
+	fl_spawn(copy_routine, c);
+}
+
 static struct fl_http_server *servers[MACHINES + 2];
 static int n_servers;
 static struct machine *machines[MACHINES];
@@ -430,6 +495,7 @@
 
 static void launch(struct machine *m, const struct fl_part *p)
 {
+	standins.launched_gone += m->gone;
 	for (int k = 0; k < n_machines; k++) {
 		for (int i = 0; i < TASKS && !machines[k]->gone; i++) {
 			const struct task *t = &machines[k]->at[i];
@@ -509,6 +575,10 @@
 	struct machine *m = ctx;
 	bool good;
 
+	if (m->deaf) {
+		fl_sleep(3.0); /* it does not arrive, and nobody answers */
+		return;
+	}
 	if (m->gone || strcmp(req->path, "/commands") != 0) {
 		say(resp, 404, NULL);
 		return;
@@ -534,11 +604,21 @@
 	snprintf(addr, sizeof(addr), "127.0.0.1:%d",
 	         standins.controller_ports[m->node % standins.n_controllers]);
 	fl_http_client_init(&c, addr, 0);
+	if (nth(standins.copies_late, ++m->reports))
+		copy_later(text, m->node + 1);
 	if (fl_http_call(&c, "POST", "/hello", text, 4.0, &reply) != 0) {
 		m->node++;
 		free(text);
 		return;
 	}
+	if (m->deaf) {
+		/* It waits in vain for its patience, and tries another node. */
+		fl_buf_free(&reply.body);
+		free(text);
+		fl_sleep(5.0);
+		m->node++;
+		return;
+	}
 	o = fl_json_parse(reply.body.data, reply.body.len);
 	if (reply.status == 200 && fl_json_count(o, "Epoch", &epoch) == FL_FIELD_OK &&
 	    epoch >= m->epoch && fl_now() < m->answered + standins.lease_s) {
@@ -582,6 +662,7 @@
 	snprintf(m->name, sizeof(m->name), "m-%06d", n_machines);
 	m->tenure = 1;
 	m->node = n_machines;
+	m->deaf = standins.deaf > 0 && standins.deaf--;
 	machines[n_machines++] = m;
 	s = fl_http_serve("127.0.0.1:0", 64, on_command, m);
 	assert(s);
@@ -593,8 +674,49 @@
 	return m->name;
 }
 
+int standins_deaf_left(void)
+{
+	int n = 0;
+
+	for (int i = 0; i < n_machines; i++)
+		n += machines[i]->deaf && !machines[i]->gone;
+	return n;
+}
+
 /* ---- cloud ---- */
 
+struct rental {
+	UT_hash_handle hh;
+	char name[64];
+	cJSON *hosts;
+	uint64_t epoch; /* that held when it was asked for */
+};
+
+static struct rental *rentals;
+
+/* The same name again rents nothing; given out by another leader it would hide what it wants. */
+static const struct rental *rental_of(const cJSON *in, uint64_t count)
+{
+	char name[64] = "";
+	struct rental *r;
+	struct key *k = find_key("c/lead");
+
+	fl_json_str(in, "Rental", name, sizeof(name));
+	HASH_FIND_STR(rentals, name, r);
+	if (r) {
+		standins.names_reused += k && r->epoch != k->rev;
+		return r;
+	}
+	r = calloc(1, sizeof(*r));
+	strcpy(r->name, name);
+	r->epoch = k ? k->rev : 0;
+	r->hosts = cJSON_CreateArray();
+	for (uint64_t i = 0; i < count && n_machines < MACHINES; i++)
+		cJSON_AddItemToArray(r->hosts, cJSON_CreateString(add_machine()));
+	HASH_ADD_STR(rentals, name, r);
+	return r;
+}
+
 static void on_cloud(void *ctx, const struct fl_request *req, struct fl_response *resp)
 {
 	static const char kinds[] =
@@ -620,8 +742,8 @@
 					machines[i]->gone = true;
 	} else if (req->method == HTTP_POST) {
 		fl_json_count(in, "Count", &count);
-		for (uint64_t i = 0; i < count && n_machines < MACHINES; i++)
-			cJSON_AddItemToArray(list, cJSON_CreateString(add_machine()));
+		cJSON_ReplaceItemInObject(o, "Hosts",
+		                          cJSON_Duplicate(rental_of(in, count)->hosts, true));
 	} else {
 		for (int i = 0; i < n_machines; i++) {
 			cJSON *h;
@@ -660,6 +782,13 @@
 
 void standins_free(void)
 {
+	struct rental *r, *tmp;
+
+	HASH_ITER (hh, rentals, r, tmp) {
+		HASH_DEL(rentals, r);
+		cJSON_Delete(r->hosts);
+		free(r);
+	}
 	while (n_servers > 0)
 		free(servers[--n_servers]);
 }
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -16,9 +16,19 @@
 	int n_controllers;
 	/* Every so many requests; 0: never. */
 	int state_refuses, state_loses, state_slow, commands_repeat;
+	int copies_late; /* every so many reports: a copy comes two leases later, to another node */
+	int deaf;        /* so many machines report and hear nothing */
+	/* Counts down with the state service's requests; at 0 `cut` is called, and that request is
+	 * carried out after it, late. */
+	int cut_after;
+	void (*cut)(void);
+	double started[8]; /* when each node's process was started */
 	double report_s, lease_s, run_s;
 	/* What the workers saw. */
 	int launches, completed, twice, max_machines;
+	/* What must never happen: an epoch used again, another process's lease ended, a rental's
+	 * name given out by two leaders, a launch on a machine that the cloud took back. */
+	int epochs_reused, leases_stolen, names_reused, launched_gone;
 };
 
 extern struct standins standins;
@@ -29,6 +39,8 @@
 void standins_free(void);
 /* The node that holds the lead, or an empty string. */
 const char *standins_leader(void);
+/* Machines that were rented, heard nothing, and are not taken back yet. */
+int standins_deaf_left(void);
 /* Is anything of this job on any machine? */
 int standins_live(const char *ref);
 
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -85,6 +85,26 @@
 	char *env[] = {(char *)"LOG_LEVEL=error", NULL};
 
 	assert_int_equal(posix_spawn(&run.pid[node], FL_PROGRAM, NULL, NULL, argv, env), 0);
+	standins.started[node] = fl_now();
+}
+
+static void end_node(int node)
+{
+	if (!run.pid[node])
+		return;
+	kill(run.pid[node], SIGKILL);
+	waitpid(run.pid[node], NULL, 0);
+	run.pid[node] = 0;
+	fl_http_client_close(&run.client[node]);
+}
+
+/* All of them end and are back at once, whatever each was in the middle of. */
+static void restart_all(void)
+{
+	for (int i = 0; i < NODES; i++)
+		end_node(i);
+	for (int i = 0; i < NODES; i++)
+		start_node(i);
 }
 
 /* Asks a living node; the status, with the body in `text`. */
@@ -162,10 +182,25 @@
 	const char *leader = standins_leader();
 	int node = leader[0] ? leader[1] - '0' : 0;
 
-	kill(run.pid[node], SIGKILL);
-	waitpid(run.pid[node], NULL, 0);
-	run.pid[node] = 0;
-	fl_http_client_close(&run.client[node]);
+	end_node(node);
+}
+
+/* Each node by itself knows the job, or at least says nothing wrong. */
+static bool known_everywhere(const char *ref, const char *want)
+{
+	for (int i = 0; i < NODES; i++)
+		if (!until_status(ref, want, i))
+			return false;
+	return true;
+}
+
+static bool await_leader(void)
+{
+	double until = fl_now() + PATIENCE_S;
+
+	while (!standins_leader()[0] && fl_now() < until)
+		fl_sleep(0.05);
+	return standins_leader()[0];
 }
 
 #define EXPECT(what)                                                                               \
@@ -220,6 +255,49 @@
 	EXPECT(standins.twice == 0);
 	/* Finished work is not done again: one completion a task, not counting the lost. */
 	EXPECT(standins.completed >= 6 + 70 + 3);
+
+	/* Copies of reports come two leases late, and the next machines rented hear nothing. */
+	standins.copies_late = 3;
+	standins.deaf = 2;
+	EXPECT(submit("run-000005", "sweep", 90, 1));
+	/* All end at each step of an election, are back at once, and what they had sent comes
+	 * after. */
+	standins.cut = restart_all;
+	for (int step = 1; step <= 9; step++) {
+		char ref[24];
+
+		snprintf(ref, sizeof(ref), "run-%06d", 10 + step);
+		end_node(standins_leader()[0] ? standins_leader()[1] - '0' : 0);
+		standins.cut_after = step;
+		for (int i = 0; i < NODES; i++)
+			if (!run.pid[i])
+				start_node(i);
+		while (standins.cut_after > 0)
+			fl_sleep(0.02);
+		EXPECT(submit(ref, "sweep", 2, step));
+		EXPECT(await_leader());
+	}
+	EXPECT(until_status("run-000005", "\"Status\":\"done\"", 0));
+	/* The troubles are over: every accepted job is known to every node, and done. */
+	standins.state_refuses = standins.state_slow = standins.state_loses = 0;
+	for (int step = 1; step <= 9; step++) {
+		char ref[24];
+
+		snprintf(ref, sizeof(ref), "run-%06d", 10 + step);
+		EXPECT(known_everywhere(ref, "\"Status\":\"done\""));
+	}
+	EXPECT(known_everywhere("run-000001", "\"Status\":\"done\""));
+	EXPECT(known_everywhere("run-000002", "aborted"));
+	until = fl_now() + PATIENCE_S;
+	while (standins_deaf_left() > 0 && fl_now() < until)
+		fl_sleep(0.1);
+	EXPECT(standins.deaf == 0);
+	EXPECT(standins_deaf_left() == 0);
+	EXPECT(standins.twice == 0);
+	EXPECT(standins.epochs_reused == 0);
+	EXPECT(standins.leases_stolen == 0);
+	EXPECT(standins.names_reused == 0);
+	EXPECT(standins.launched_gone == 0);
 out:
 	run.over = true;
 	ev_break(fl_loop(), EVBREAK_ALL);
