--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -10,29 +10,26 @@
 #include "coordination/node.h"
 #include "coordination/reconcile.h"
 #include "coordination/schedule.h"
+#include "coordination/silence.h"
 #include "transport/clock.h"
 #include "transport/log.h"
 #include "transport/routine.h"
 
 static const struct {
-	double round_s;    /* s between two looks at the machines */
-	double list_s;     /* s between two lists */
-	double kinds_s;    /* s between two looks at prices */
-	double refused_s;  /* s for which a refused place is not asked again */
-	double idle_boots; /* boot times for which an idle machine is kept */
-	double boot_late;  /* boot times after which a booting machine is no longer counted on */
-	double boot_most;  /* boot times after which a booting machine is given up */
-	double silent_extra_s; /* s beyond a worker's lease before a silent machine is returned */
-	double mass_share;     /* share of machines silent at once that points at us, not at them */
-	double mass_leases;    /* leases of silence after which they are returned all the same */
-	double with_zone_s;    /* s within which a machine and its zone's controller fall silent */
-	double soon_boots;     /* boot times within which an ending task's room is waited for */
-	double learn_s;        /* s over which the arrival of services is counted */
-	double reserve_sd;     /* spreads of the arrivals expected while a machine boots, on top */
-	double tombstone_s;    /* s; messages may arrive minutes late */
-	int machines_most;     /* rented in one round */
-	int tries;             /* of one rental that goes unanswered */
-} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.5, 0.4, 3.0, 5.0, 0.7, 300.0, 2.0, 900.0, 400, 3};
+	double round_s;     /* s between two looks at the machines */
+	double list_s;      /* s between two lists */
+	double kinds_s;     /* s between two looks at prices */
+	double refused_s;   /* s for which a refused place is not asked again */
+	double idle_boots;  /* boot times for which an idle machine is kept */
+	double boot_late;   /* boot times after which a booting machine is no longer counted on */
+	double boot_most;   /* boot times after which a booting machine is given up */
+	double soon_boots;  /* boot times within which an ending task's room is waited for */
+	double learn_s;     /* s over which the arrival of services is counted */
+	double reserve_sd;  /* spreads of the arrivals expected while a machine boots, on top */
+	double tombstone_s; /* s; messages may arrive minutes late */
+	int machines_most;  /* rented in one round */
+	int tries;          /* of one rental that goes unanswered */
+} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.7, 300.0, 2.0, 900.0, 400, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
 struct virtual
@@ -450,60 +447,6 @@
 	return 0;
 }
 
-static double last_sign(const struct fl_node *n, const struct fl_machine *m)
-{
-	double heard = fmax(fmax(m->heard, n->lead.since), m->created);
-
-	/* Reports of one that does not hear us are no sign that it can be used. */
-	return fmin(heard, fl_hearing_lost_at(m));
-}
-
-/*
- * A zone that is cut off goes on working inside, as long as its controllers have a proof to keep
- * with. Its machines fall silent together with them, and until then their work is as good as ever:
- * given up early, it would all start again, on machines that are still to boot.
- */
-static double kept_by_zone(const struct fl_node *n, const struct fl_machine *m)
-{
-	double last = last_sign(n, m), slack = choice.with_zone_s;
-
-	for (int i = 0; i < n->n_peers; i++) {
-		const struct fl_peer *p = &n->peers[i];
-
-		if (m->zone >= 0 && !p->up &&
-		    strcmp(p->location, fl_names_at(&n->books.zones, m->zone)) == 0 &&
-		    p->heard_at > last - slack && p->heard_at < last + slack)
-			return fl_keeper_keep_s(n);
-	}
-	return 0;
-}
-
-static bool silent(const struct fl_node *n, const struct fl_machine *m, double now, double leases)
-{
-	double allowed;
-
-	if (!m->up && m->n_slots == 0)
-		return false;
-	allowed = fmax(leases * n->config->lease_s, n->config->lease_s + kept_by_zone(n, m));
-	return now - last_sign(n, m) > allowed + choice.silent_extra_s;
-}
-
-/* Many silent at once point at this node's own links: then it takes much longer to give up. */
-static double silence_allowed(const struct fl_node *n, double now)
-{
-	int up = 0, quiet = 0;
-
-	for (int i = 0; i < n->books.machines.n; i++) {
-		const struct fl_machine *m = n->books.machines.at[i];
-
-		if (m->gone || (!m->up && m->n_slots == 0))
-			continue;
-		up++;
-		quiet += now - last_sign(n, m) > n->config->lease_s + choice.silent_extra_s;
-	}
-	return quiet > 2 && quiet > choice.mass_share * up ? choice.mass_leases : 1;
-}
-
 static const char *why_return(struct fl_node *n, struct fl_machine *m, double now, double leases)
 {
 	const struct fl_kind *k = m->kind >= 0 ? &n->books.machines.kinds[m->kind] : NULL;
@@ -513,7 +456,7 @@
 		return "given up";
 	if (m->gone)
 		return NULL;
-	if (silent(n, m, now, leases))
+	if (fl_silence_lasts(n, m, now, leases))
 		return fl_hearing_lost_at(m) < INFINITY ? "does not hear us" : "silent";
 	if (!k)
 		return NULL;
@@ -542,7 +485,7 @@
 {
 	const char *names[FL_DELETE_MAX];
 	struct fl_machine *list[FL_DELETE_MAX];
-	double now = fl_now(), leases = silence_allowed(n, now);
+	double now = fl_now(), leases = fl_silence_leases(n, now);
 	int count = 0, rc;
 
 	for (int i = 0; i < n->books.machines.n && count < FL_DELETE_MAX; i++) {
--- /dev/null
+++ b/src/coordination/silence.h
@@ -0,0 +1,17 @@
+/* When a machine that is not heard of, or does not hear us, is given up. */
+#ifndef FL_COORDINATION_SILENCE_H
+#define FL_COORDINATION_SILENCE_H
+
+#include <stdbool.h>
+
+#include "bookkeeping/machines.h"
+
+struct fl_node;
+
+/* Leases of silence to be allowed now: more if too many machines are silent at once. */
+double fl_silence_leases(const struct fl_node *n, double now);
+/* The machine has been silent for longer than is allowed. */
+bool fl_silence_lasts(const struct fl_node *n, const struct fl_machine *m, double now,
+                      double leases);
+
+#endif
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -18,6 +18,7 @@
 #include "coordination/hearing.h"
 #include "coordination/node.h"
 #include "coordination/reconcile.h"
+#include "coordination/silence.h"
 #include "transport/clock.h"
 
 enum { EPOCH = 7 };
@@ -512,6 +513,80 @@
 	assert_int_equal(call(f, FL_CALL_READY, NULL, NULL).status, 200);
 }
 
+/* ---- when silence ends a machine ---- */
+
+static void silent_for(struct fixture *f, double seconds)
+{
+	struct fl_machine *m = machine(f);
+
+	m->heard = m->reached = m->created = fl_now() - seconds;
+	f->node.lead.since = fl_now() - 1000;
+}
+
+static bool given_up(struct fixture *f)
+{
+	return fl_silence_lasts(&f->node, machine(f), fl_now(),
+	                        fl_silence_leases(&f->node, fl_now()));
+}
+
+/* Alone it is given up after a lease; with its zone's controllers, when these must stop keeping. */
+static void a_zone_that_falls_silent_keeps_its_machines(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_peer *p = &f->node.peers[0];
+	double keep = f->config.cancel_s - f->config.lease_s - 1;
+
+	hear(f, report(1, 1, EPOCH, NULL, 0), FL_WAY_REPORT);
+	place(f, 0);
+	f->node.n_peers = 1;
+	strcpy(p->location, "a");
+	p->up = true;
+	silent_for(f, 9);
+	assert_false(given_up(f));
+	silent_for(f, 11);
+	assert_true(given_up(f));
+	/* The controller of its zone fell silent at the same time. */
+	p->up = false;
+	p->heard_at = fl_now() - 12;
+	assert_false(given_up(f));
+	silent_for(f, f->config.lease_s + keep + 1);
+	p->heard_at = machine(f)->heard;
+	assert_true(given_up(f));
+	/* Of another zone, or long before: it keeps nothing here. */
+	silent_for(f, 11);
+	p->heard_at = fl_now() - 30;
+	assert_true(given_up(f));
+	p->heard_at = machine(f)->heard;
+	strcpy(p->location, "b");
+	assert_true(given_up(f));
+}
+
+/* A deaf machine is given up like a silent one, though it reports; many at once point at us. */
+static void deafness_counts_as_silence_but_not_of_all_at_once(void **state)
+{
+	struct fixture *f = *state;
+
+	hear(f, report(1, 1, EPOCH, NULL, 0), FL_WAY_REPORT);
+	place(f, 0);
+	for (uint64_t serial = 2; serial < 5; serial++) {
+		ago(f, 12);
+		hear(f, report(1, serial, EPOCH, NULL, 0), FL_WAY_REPORT);
+	}
+	assert_true(given_up(f));
+	for (int i = 2; i < 6; i++) {
+		char name[FL_NAME_MAX];
+		struct fl_machine *m;
+
+		snprintf(name, sizeof(name), "m-%06d", i);
+		m = fl_machine_get(&f->node.books.machines, name, fl_now() - 100);
+		m->up = true;
+		m->heard = fl_now();
+		m->unheard = 3;
+		m->unheard_since = fl_now() - 12;
+	}
+	assert_false(given_up(f));
+}
+
 #define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -528,6 +603,8 @@
 		T(a_node_alone_sends_its_workers_away_once),
 		T(a_node_cut_off_with_its_workers_keeps_them),
 		T(a_node_alone_says_so),
+		T(a_zone_that_falls_silent_keeps_its_machines),
+		T(deafness_counts_as_silence_but_not_of_all_at_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
