--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -138,12 +138,14 @@
 	return s;
 }
 
-static int best_machine(const struct fl_sched_in *in, const struct fl_sched_job *j, int zone,
+static int best_machine(const struct pass *p, const struct fl_sched_job *j, int zone,
                         const double *ends_by)
 {
+	const struct fl_sched_in *in = p->in;
 	double best_score = INFINITY;
 	int best = -1;
 
+	p->out->looks += in->n_machines;
 	for (int i = 0; i < in->n_machines; i++) {
 		const struct fl_sched_machine *m = &in->machines[i];
 		double s;
@@ -257,7 +259,7 @@
 
 		if (!team_ok(p->in, j))
 			return false;
-		m = best_machine(p->in, j, zone, ends_by);
+		m = best_machine(p, j, zone, ends_by);
 		if (m < 0)
 			return true;
 		start(p, job, m);
@@ -358,6 +360,7 @@
 		p->failed = true;
 		return false;
 	}
+	p->out->looks += p->in->n_machines;
 	for (int i = 0; i < p->in->n_machines; i++) {
 		const struct fl_sched_machine *m = &p->in->machines[i];
 		double cost;
--- a/src/coordination/schedule.h
+++ b/src/coordination/schedule.h
@@ -86,6 +86,7 @@
 	int top;            /* the blocked top job; -1: none */
 	double window_s;    /* its backfill window from now on */
 	int resume;         /* 0: the pass came to its end */
+	long looks;         /* machines looked at: the pass's work, whatever the clock says */
 };
 
 double fl_sched_priority(const struct fl_sched_params *p, const struct fl_sched_job *j);
--- a/tests/test_schedule.c
+++ b/tests/test_schedule.c
@@ -16,7 +16,7 @@
 
 #include "coordination/schedule.h"
 
-enum { J = 14, M = 9, R = 24, T = 3, Z = 3, STARTS = 400 };
+enum { J = 80, M = 300, R = 700, T = 3, Z = 3, STARTS = 1000 };
 
 struct world {
 	struct fl_sched_job jobs[J];
@@ -143,11 +143,15 @@
 static bool m_start(struct model *m, int job, const double *until, double est)
 {
 	struct fl_sched_job *j = &m->w.jobs[job];
-	struct model before = *m;
+	struct model *before = NULL;
 	int zone = m_zone_choice(m, j);
 	bool no_room = false;
 	bool one = !j->standing && !j->begun && j->waited_s > 120 && !j->whole;
 
+	if (j->whole) {
+		before = malloc(sizeof(*before));
+		*before = *m;
+	}
 	for (uint32_t all = j->waiting; j->waiting > 0 && !(one && j->waiting < all);) {
 		int best = -1;
 
@@ -177,8 +181,9 @@
 		j->zone_placed[m->w.machines[best].zone]++;
 		j->waiting--;
 	}
-	if (j->whole && j->waiting > 0)
-		*m = before;
+	if (before && j->waiting > 0)
+		*m = *before;
+	free(before);
 	return no_room;
 }
 
@@ -401,11 +406,11 @@
 
 static double pick(gsl_rng *g, int n) { return (double)gsl_rng_uniform_int(g, (unsigned long)n); }
 
-static void random_world(gsl_rng *g, struct world *w)
+static void random_world(gsl_rng *g, struct world *w, int jobs, int machines, int tries)
 {
 	memset(w, 0, sizeof(*w));
-	w->n_jobs = 1 + (int)pick(g, J);
-	w->n_machines = 1 + (int)pick(g, M);
+	w->n_jobs = 1 + (int)pick(g, jobs);
+	w->n_machines = 1 + (int)pick(g, machines);
 	for (int t = 0; t < T; t++) {
 		w->teams[t].gpus = pick(g, 2) ? pick(g, 9) : 0;
 		w->teams[t].gpus_max = pick(g, 2) ? 4 + pick(g, 20) : 0;
@@ -424,7 +429,7 @@
 		                                           .pull_gb_s = 0.5,
 		                                           .cache = w->cache[i]};
 	}
-	for (int i = 0; i < R; i++) {
+	for (int i = 0; i < tries; i++) {
 		struct fl_sched_run r = {0};
 		struct fl_sched_machine *m;
 
@@ -493,44 +498,67 @@
 	assert_int_equal(fl_schedule(&in, out), 0);
 }
 
+struct tally {
+	long starts, stops, tops, looks, bound;
+};
+
+static void compare(struct model *m, struct world *w, struct tally *t)
+{
+	struct fl_sched_out out;
+
+	memset(m, 0, sizeof(*m));
+	m->w = *w;
+	model_pass(m);
+	run_real(w, &out);
+	assert_int_equal(out.n_starts, m->n_starts);
+	for (int i = 0; i < out.n_starts; i++) {
+		assert_int_equal(out.starts[i].job, m->starts[i].job);
+		assert_int_equal(out.starts[i].machine, m->starts[i].machine);
+	}
+	assert_int_equal(out.n_stops, m->n_stops);
+	for (int i = 0; i < out.n_stops; i++)
+		assert_int_equal(out.stops[i], m->stops[i]);
+	assert_int_equal(out.top, m->top);
+	if (m->top >= 0)
+		assert_true(out.window_s == m->window || fabs(out.window_s - m->window) < 1e-6);
+	for (int i = 0; i < w->n_jobs; i++)
+		assert_int_equal(out.short_of[i], m->short_of[i]);
+	t->starts += out.n_starts;
+	t->stops += out.n_stops;
+	t->tops += out.top >= 0;
+	t->looks += out.looks;
+	/* Each start, each task promised room and each job that finds none looks once or twice. */
+	t->bound += (long)w->n_machines * (out.n_starts + 2 * w->n_jobs + 2 * out.n_stops);
+	fl_sched_free(&out);
+}
+
 static void the_pass_decides_like_the_plain_model(void **state)
 {
 	gsl_rng *g = gsl_rng_alloc(gsl_rng_mt19937);
 	struct model *m = malloc(sizeof(*m));
 	struct world *w = malloc(sizeof(*w));
-	int starts = 0, stops = 0, tops = 0;
+	struct tally small = {0}, large = {0};
 
 	(void)state;
 	gsl_rng_set(g, 7);
 	for (int round = 0; round < 4000; round++) {
-		struct fl_sched_out out;
-
-		random_world(g, w);
-		memset(m, 0, sizeof(*m));
-		m->w = *w;
-		model_pass(m);
-		run_real(w, &out);
-		assert_int_equal(out.n_starts, m->n_starts);
-		for (int i = 0; i < out.n_starts; i++) {
-			assert_int_equal(out.starts[i].job, m->starts[i].job);
-			assert_int_equal(out.starts[i].machine, m->starts[i].machine);
-		}
-		assert_int_equal(out.n_stops, m->n_stops);
-		for (int i = 0; i < out.n_stops; i++)
-			assert_int_equal(out.stops[i], m->stops[i]);
-		assert_int_equal(out.top, m->top);
-		if (m->top >= 0)
-			assert_true(out.window_s == m->window ||
-			            fabs(out.window_s - m->window) < 1e-6);
-		for (int i = 0; i < w->n_jobs; i++)
-			assert_int_equal(out.short_of[i], m->short_of[i]);
-		starts += out.n_starts;
-		stops += out.n_stops;
-		tops += out.top >= 0;
-		fl_sched_free(&out);
+		random_world(g, w, 14, 9, 24);
+		compare(m, w, &small);
 	}
 	/* The snapshots must reach all of it. */
-	assert_true(starts > 4000 && stops > 400 && tops > 400);
+	assert_true(small.starts > 4000 && small.stops > 400 && small.tops > 400);
+	/* Hundreds of machines: the same decisions, and no more work than starts times machines. */
+	for (int round = 0; round < 60; round++) {
+		random_world(g, w, J, M, R);
+		for (int t = 0; t < T; t++) {
+			w->teams[t].gpus *= 30;
+			w->teams[t].gpus_max *= 30;
+			w->teams[t].cpus_max *= 30;
+		}
+		compare(m, w, &large);
+	}
+	assert_true(large.starts > 500 && large.stops > 50);
+	assert_true(large.looks <= large.bound);
 	free(m);
 	free(w);
 	gsl_rng_free(g);
