A worker is answered before it is sent to its own zone's node

Ruled out: missing proofs (no worker was refused). One that is new here is served for a report interval first.

--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -22,12 +22,13 @@
 	double margin_s;       /* s off the keeping time, for drift and late timers */
 	double home_s;         /* s that a worker's own zone's node must have been up */
 	double home_leases;    /* leases between two times that one worker is sent home */
+	double settle_reports; /* report intervals that it is served here before */
 	double record_use;     /* share of a value's limit that a digest fills */
 	double write_share;    /* share of the state service's writes for one node's digests */
 	double alone_s;        /* s without any word before a node counts as alone */
 	double probe_s;        /* s; the balancer asks about once a second */
 	double at_once_s;      /* s within which links that fail together fail for one reason */
-} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 1.5, 2.0, 1.0, 1.0, 1.5, 0.85, 0.12, 1.5, 2.5, 4.0};
+} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 1.5, 2.0, 1.0, 1.0, 1.5, 1.0, 0.85, 0.12, 1.5, 2.5, 4.0};
 
 static struct fl_peer *find_peer(struct fl_node *n, const char *name)
 {
@@ -199,23 +200,30 @@
 	resp->status = 421;
 }
 
-/* One worker is sent home once in more than a lease: after that it is served where it is. */
-static bool sent_lately(struct fl_node *n, const char *host)
+/*
+ * A worker is sent away once in more than a lease, after that it is served where it is; and not
+ * before it was answered here: it may have looked for a living node until its lease is nearly over,
+ * and half a second more on its way would be its tasks' end.
+ */
+static bool may_send(struct fl_node *n, const char *host)
 {
-	struct fl_sent_home *s;
+	double now = fl_now();
+	struct fl_guest *g;
 
-	HASH_FIND_STR(n->keeper.sent_home, host, s);
-	if (s && fl_now() < s->at + choice.home_leases * n->config->lease_s)
-		return true;
-	if (!s) {
-		s = calloc(1, sizeof(*s));
-		if (!s)
-			return true;
-		strcpy(s->host, host);
-		HASH_ADD_STR(n->keeper.sent_home, host, s);
+	HASH_FIND_STR(n->keeper.guests, host, g);
+	if (!g) {
+		g = calloc(1, sizeof(*g));
+		if (!g)
+			return false;
+		strcpy(g->host, host);
+		g->came = now;
+		HASH_ADD_STR(n->keeper.guests, host, g);
 	}
-	s->at = fl_now();
-	return false;
+	if (now < g->came + choice.settle_reports * n->config->report_s ||
+	    (g->sent > 0 && now < g->sent + choice.home_leases * n->config->lease_s))
+		return false;
+	g->sent = now;
+	return true;
 }
 
 /*
@@ -232,7 +240,7 @@
 		const struct fl_peer *p = &n->peers[i];
 
 		if (strcmp(p->location, r->site) == 0 && p->up && now > p->up_since + choice.home_s)
-			return sent_lately(n, r->host) ? NULL : p;
+			return may_send(n, r->host) ? p : NULL;
 	}
 	return NULL;
 }
@@ -282,7 +290,7 @@
 
 		/* Not to one that was lost before. */
 		if (p->heard_at > last - choice.at_once_s)
-			return sent_lately(n, r->host) ? NULL : p;
+			return may_send(n, r->host) ? p : NULL;
 	}
 	return NULL;
 }
@@ -485,15 +493,15 @@
 	}
 }
 
-static void forget_sent_home(struct fl_node *n, double before)
+static void forget_guests(struct fl_node *n, double before)
 {
-	struct fl_sent_home *s, *tmp;
+	struct fl_guest *g, *tmp;
 
-	HASH_ITER (hh, n->keeper.sent_home, s, tmp) {
-		if (s->at >= before)
+	HASH_ITER (hh, n->keeper.guests, g, tmp) {
+		if (g->came >= before || g->sent >= before)
 			continue;
-		HASH_DEL(n->keeper.sent_home, s);
-		free(s);
+		HASH_DEL(n->keeper.guests, g);
+		free(g);
 	}
 }
 
@@ -505,7 +513,7 @@
 		double now = fl_now();
 		struct fl_kept *k, *tmp;
 
-		forget_sent_home(n, now - choice.home_leases * n->config->lease_s);
+		forget_guests(n, now - choice.home_leases * n->config->lease_s);
 		HASH_ITER (hh, n->keeper.kept, k, tmp)
 			if (k->at < now - 5 * choice.digest_s)
 				unkeep(n, k);
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -40,15 +40,16 @@
 	bool known; /* what rev stands there */
 };
 
-struct fl_sent_home {
+/* A worker that would be better off at another node. */
+struct fl_guest {
 	UT_hash_handle hh;
 	char host[FL_NAME_MAX];
-	double at;
+	double came, sent; /* steady; sent: away from here, 0: not yet */
 };
 
 struct fl_keeper {
 	struct fl_kept *kept;
-	struct fl_sent_home *sent_home;
+	struct fl_guest *guests;
 	int away; /* whose turn it is to get a worker that is sent away */
 	struct fl_digest_slot digest[FL_DIGESTS_MAX];
 	struct fl_budget writes;
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -91,11 +91,11 @@
 		free(k->text);
 		free(k);
 	}
-	while (f->node.keeper.sent_home) {
-		struct fl_sent_home *s = f->node.keeper.sent_home;
+	while (f->node.keeper.guests) {
+		struct fl_guest *g = f->node.keeper.guests;
 
-		HASH_DEL(f->node.keeper.sent_home, s);
-		free(s);
+		HASH_DEL(f->node.keeper.guests, g);
+		free(g);
 	}
 	fl_books_free(&f->node.books);
 	free(f);
@@ -426,6 +426,13 @@
 	f->node.proof_at = now - for_s;
 }
 
+/* The workers have been here for a while. */
+static void settled(struct fixture *f)
+{
+	for (struct fl_guest *g = f->node.keeper.guests; g; g = g->hh.next)
+		g->came -= f->config.report_s;
+}
+
 /* State service and other controllers are lost, the workers are not. */
 static void a_node_alone_sends_its_workers_away_once(void **state)
 {
@@ -436,9 +443,15 @@
 	follow(f, 4);
 	lose_all(f, 3);
 	assert_true(fl_keeper_alone(&f->node));
+	/* One that has come but now may have little left of its lease: it is answered first. */
+	assert_int_equal(send_report(f, r, NULL), 200);
+	strcpy(r.host, "m-000002");
+	assert_int_equal(send_report(f, r, NULL), 200);
+	settled(f);
 	/* The second worker goes elsewhere than the first: none of them is known to be well. */
+	r.serial++;
 	assert_int_equal(send_report(f, r, first), 421);
-	strcpy(r.host, "m-000002");
+	strcpy(r.host, "m-000001");
 	assert_int_equal(send_report(f, r, second), 421);
 	assert_true(first[0] && second[0] && strcmp(first, second) != 0);
 	/* It found nobody there and is back within its lease: now it is kept. */
@@ -459,7 +472,10 @@
 
 	follow(f, 4);
 	lose_all(f, 3);
+	assert_int_equal(send_report(f, r, NULL), 200);
+	settled(f);
 	f->node.probed_at = fl_now() - 10;
+	r.serial++;
 	assert_int_equal(send_report(f, r, NULL), 200);
 	/* The others died long before the state service failed. */
 	lose_all(f, 3);
@@ -472,6 +488,31 @@
 	assert_false(fl_keeper_alone(&f->node));
 }
 
+/*
+ * Found in an incident: all controllers had died, and workers that came to one of the first back
+ * with the rest of their lease were sent on to their zone's, half a second away.
+ */
+static void a_worker_is_answered_before_it_is_sent_home(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_report r = report(1, 20, EPOCH, NULL, 0);
+	char to[FL_NAME_MAX];
+
+	follow(f, 1);
+	strcpy(r.site, "b");
+	strcpy(f->node.leader, "n9");
+	f->node.peers[0].up = true;
+	f->node.peers[0].up_since = fl_now() - 5;
+	assert_int_equal(send_report(f, r, NULL), 200);
+	settled(f);
+	r.serial++;
+	assert_int_equal(send_report(f, r, to), 421);
+	assert_string_equal(to, "n1");
+	/* It is back, for whatever reason: it stays. */
+	r.serial++;
+	assert_int_equal(send_report(f, r, NULL), 200);
+}
+
 /* Users of a node that is alone are told so at once, and the balancer too. */
 static void a_node_alone_says_so(void **state)
 {
@@ -602,6 +643,7 @@
 		T(a_kept_report_survives_its_short_form),
 		T(a_node_alone_sends_its_workers_away_once),
 		T(a_node_cut_off_with_its_workers_keeps_them),
+		T(a_worker_is_answered_before_it_is_sent_home),
 		T(a_node_alone_says_so),
 		T(a_zone_that_falls_silent_keeps_its_machines),
 		T(deafness_counts_as_silence_but_not_of_all_at_once),
