A write-ahead log of placements, and lost tasks start again where their image is

Each job's placement waited for a put of its own (median 4 s, last 11 s at 25 writes a second), and the new leader knew no machine's images, so that three of four went to a machine that had to fetch (11 s). Ruled out: room, the pass, direct commands. Changes of many jobs now go into a few values of a log, the records follow; a machine read from a record has that record's image.

The random walk writes records and log in any order and takes over between any two writes.

--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -160,7 +160,13 @@
 {
 	const struct fl_chunk *c = fl_job_chunk(job, index / FL_CHUNK);
 
-	return !c || c->task[index % FL_CHUNK].gen <= c->saved_gen;
+	return !c || c->task[index % FL_CHUNK].gen <= c->saved_gen ||
+	       c->task[index % FL_CHUNK].gen <= c->logged_gen;
+}
+
+bool fl_task_saved(const struct fl_chunk *c, const struct fl_task *t)
+{
+	return t->gen <= c->saved_gen;
 }
 
 void fl_task_touch(struct fl_books *b, struct fl_job *job, uint32_t index)
@@ -276,6 +282,11 @@
 	t->placed = placed;
 	/* Placed by an earlier leader: what it has run since would be lost by stopping it. */
 	t->since = now - (placed > 0 ? fmax(0, fl_wall() - placed) : 0);
+	/*
+	 * Its image is there, and stays when the task is lost with its worker's session: after an
+	 * end of all controllers hundreds of tasks start again, and best where they ran.
+	 */
+	fl_machine_note_bundle(m, job->bundle);
 	job->n_waiting--;
 	return 0;
 }
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -32,9 +32,11 @@
 
 struct fl_chunk {
 	struct fl_task task[FL_CHUNK];
-	uint64_t gen, saved_gen; /* a change is durable once saved_gen has reached its gen */
-	uint64_t rev;            /* KeyRev of the record; 0: none */
-	bool rev_unknown;        /* a write went unanswered: read before writing again */
+	uint64_t gen;        /* counts changes; a task has that of its last one */
+	uint64_t saved_gen;  /* up to which changes stand in the record */
+	uint64_t logged_gen; /* and in the log or the record: those are durable */
+	uint64_t rev;        /* KeyRev of the record; 0: none */
+	bool rev_unknown;    /* a write went unanswered: read before writing again */
 };
 
 struct fl_job {
@@ -108,6 +110,8 @@
 /* The task if its chunk exists, else NULL (it waits and never ran). */
 struct fl_task *fl_task_peek(const struct fl_job *job, uint32_t index);
 bool fl_task_durable(const struct fl_job *job, uint32_t index);
+/* Does the record hold its last change? */
+bool fl_task_saved(const struct fl_chunk *c, const struct fl_task *t);
 /* Marks the chunk as changed and the job as dirty. */
 void fl_task_touch(struct fl_books *b, struct fl_job *job, uint32_t index);
 /* Next WAITING task at or after `from` that may start at `now`; parts if none. */
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -192,7 +192,8 @@
  *  "m":[[index,attempt,machine,tenure,placed],...]}:
  * done ranges, waiting tasks that have used attempts, placed tasks with their wall time.
  */
-cJSON *fl_chunk_encode(const struct fl_books *b, const struct fl_job *job, uint32_t chunk)
+static cJSON *encode(const struct fl_books *b, const struct fl_job *job, uint32_t chunk,
+                     bool unsaved_only)
 {
 	const struct fl_chunk *c = job->chunks[chunk];
 	uint32_t base = chunk * FL_CHUNK;
@@ -204,9 +205,12 @@
 	for (uint32_t i = 0; i < FL_CHUNK && base + i < job->parts; i++) {
 		const struct fl_task *t = &c->task[i];
 
+		if (unsaved_only && fl_task_saved(c, t))
+			continue;
 		if (t->phase == FL_TASK_DONE) {
 			uint32_t last = i;
 
+			/* What is done and saved already may stand in the log once more. */
 			while (last + 1 < FL_CHUNK && c->task[last + 1].phase == FL_TASK_DONE)
 				last++;
 			e = cJSON_CreateArray();
@@ -233,89 +237,236 @@
 	return o;
 }
 
-static bool item_number(const cJSON *e, int at, double max, double *out)
+cJSON *fl_chunk_encode(const struct fl_books *b, const struct fl_job *job, uint32_t chunk)
+{
+	return encode(b, job, chunk, false);
+}
+
+/* ["run-000412",3,{...}] */
+char *fl_log_group_encode(const struct fl_books *b, const struct fl_job *job, uint32_t chunk)
 {
-	const cJSON *n = cJSON_GetArrayItem(e, at);
+	const struct fl_chunk *c = fl_job_chunk(job, chunk);
+	cJSON *e;
 
-	if (!cJSON_IsNumber(n) || !(n->valuedouble >= 0) || n->valuedouble > max)
-		return false;
-	*out = n->valuedouble;
-	return true;
+	if (!c || c->gen <= c->saved_gen)
+		return NULL;
+	e = cJSON_CreateArray();
+	cJSON_AddItemToArray(e, cJSON_CreateString(job->ref));
+	cJSON_AddItemToArray(e, cJSON_CreateNumber(chunk));
+	cJSON_AddItemToArray(e, encode(b, job, chunk, true));
+	return fl_json_take(e);
 }
 
-static int restore_placed(struct fl_books *b, struct fl_job *job, const cJSON *e, double now)
+cJSON *fl_log_value_begin(void)
 {
-	const cJSON *name = cJSON_GetArrayItem(e, 2);
-	double index, attempt, tenure, placed = 0;
-	struct fl_machine *m;
+	cJSON *o = cJSON_CreateObject();
 
-	if (!item_number(e, 0, job->parts - 1, &index) ||
-	    !item_number(e, 1, UINT32_MAX, &attempt) || !item_number(e, 3, 9e15, &tenure) ||
-	    !cJSON_IsString(name) || strlen(name->valuestring) >= FL_NAME_MAX)
+	cJSON_AddArrayToObject(o, "log");
+	return o;
+}
+
+void fl_log_value_add(cJSON *value, const char *group)
+{
+	cJSON_AddItemToArray(cJSON_GetObjectItemCaseSensitive(value, "log"),
+	                     cJSON_CreateRaw(group));
+}
+
+static int read_group(struct fl_log *log, const cJSON *e)
+{
+	const cJSON *ref = cJSON_GetArrayItem(e, 0), *changes = cJSON_GetArrayItem(e, 2);
+	struct fl_log_group *g;
+	uint64_t chunk;
+
+	if (!cJSON_IsString(ref) || strlen(ref->valuestring) >= FL_REF_MAX ||
+	    !fl_ref_ok(ref->valuestring) ||
+	    fl_json_item(e, 1, FL_PARTS_MAX / FL_CHUNK + 1, &chunk) != FL_FIELD_OK ||
+	    !cJSON_IsObject(changes))
 		return -EPROTO;
-	/* Records of earlier versions have no time: it counts as placed now. */
-	if (cJSON_GetArraySize(e) > 4 && !item_number(e, 4, 9e15, &placed))
+	if (log->n == log->cap) {
+		int cap = log->cap ? 2 * log->cap : 64;
+
+		g = realloc(log->at, (size_t)cap * sizeof(*g));
+		if (!g)
+			return -ENOMEM;
+		log->at = g;
+		log->cap = cap;
+	}
+	g = &log->at[log->n++];
+	*g = (struct fl_log_group){.chunk = (uint32_t)chunk};
+	strcpy(g->ref, ref->valuestring);
+	g->changes = cJSON_Duplicate(changes, true);
+	return g->changes ? 0 : -ENOMEM;
+}
+
+int fl_log_read(struct fl_log *log, const cJSON *value)
+{
+	const cJSON *list = fl_json_get(value, "log"), *e;
+
+	if (!cJSON_IsArray(list))
 		return -EPROTO;
-	m = fl_machine_get(&b->machines, name->valuestring, now);
-	if (!m)
-		return -ENOMEM;
-	return fl_task_restore(b, job, (uint32_t)index, (uint32_t)attempt, m, (uint64_t)tenure,
-	                       placed, now);
+	cJSON_ArrayForEach (e, list) {
+		int rc = read_group(log, e);
+
+		if (rc)
+			return rc;
+	}
+	return 0;
 }
 
-int fl_chunk_restore(struct fl_books *b, struct fl_job *job, uint32_t chunk, const cJSON *v,
-                     uint64_t rev, double now)
+void fl_log_free(struct fl_log *log)
 {
-	double first, last, attempt;
-	struct fl_chunk *c;
-	const cJSON *e;
+	for (int i = 0; i < log->n; i++)
+		cJSON_Delete(log->at[i].changes);
+	free(log->at);
+	memset(log, 0, sizeof(*log));
+}
+
+/* What is written of one task. Of two such, the later one counts. */
+struct said {
+	enum fl_phase phase;
+	uint32_t attempt;
+	const char *machine; /* in the value it was read from */
+	uint64_t tenure;
+	double placed;
+	bool logged; /* the log says so, and no record */
+};
+
+/* Done is for ever; attempts only rise; an attempt is placed first and let go of after. */
+static bool later(const struct said *a, const struct said *b)
+{
+	if (a->phase == FL_TASK_DONE || b->phase == FL_TASK_DONE)
+		return b->phase != FL_TASK_DONE;
+	if (a->attempt != b->attempt)
+		return a->attempt > b->attempt;
+	return a->phase == FL_TASK_WAITING && b->phase == FL_TASK_PLACED;
+}
+
+static int hear(const struct fl_job *job, uint32_t chunk, struct said *said, uint64_t index,
+                const struct said *what)
+{
+	if (index < (uint64_t)chunk * FL_CHUNK || index >= (uint64_t)(chunk + 1) * FL_CHUNK ||
+	    index >= job->parts)
+		return -EPROTO;
+	if (later(what, &said[index % FL_CHUNK]))
+		said[index % FL_CHUNK] = *what;
+	return 0;
+}
 
-	if (chunk >= job->n_chunks || !fl_task_get(job, chunk * FL_CHUNK))
+static int read_placed(const cJSON *e, struct said *out, uint64_t *index)
+{
+	const cJSON *name = cJSON_GetArrayItem(e, 2);
+	uint64_t attempt, placed = 0;
+
+	if (fl_json_item(e, 0, FL_PARTS_MAX, index) != FL_FIELD_OK ||
+	    fl_json_item(e, 1, UINT32_MAX, &attempt) != FL_FIELD_OK ||
+	    fl_json_item(e, 3, FL_COUNT_MAX, &out->tenure) != FL_FIELD_OK ||
+	    /* Records of earlier versions have no time: it counts as placed now. */
+	    fl_json_item(e, 4, FL_COUNT_MAX, &placed) == FL_FIELD_BAD || !cJSON_IsString(name) ||
+	    strlen(name->valuestring) >= FL_NAME_MAX)
 		return -EPROTO;
-	c = job->chunks[chunk];
+	out->attempt = (uint32_t)attempt;
+	out->machine = name->valuestring;
+	out->placed = (double)placed;
+	return 0;
+}
+
+static int read_said(const struct fl_job *job, uint32_t chunk, const cJSON *v, bool logged,
+                     struct said *said)
+{
+	uint64_t first, last, attempt;
+	const cJSON *e;
+	int rc = 0;
+
 	cJSON_ArrayForEach (e, fl_json_get(v, "d")) {
-		if (!item_number(e, 0, job->parts - 1, &first) ||
-		    !item_number(e, 1, job->parts - 1, &last))
+		struct said s = {.phase = FL_TASK_DONE, .logged = logged};
+
+		if (fl_json_item(e, 0, FL_PARTS_MAX, &first) != FL_FIELD_OK ||
+		    fl_json_item(e, 1, FL_PARTS_MAX, &last) != FL_FIELD_OK)
 			return -EPROTO;
-		for (uint32_t i = (uint32_t)first; i <= (uint32_t)last; i++) {
-			struct fl_task *t = fl_task_get(job, i);
-
-			if (!t || t->phase != FL_TASK_WAITING)
-				return -EPROTO;
-			t->phase = FL_TASK_DONE;
-			job->n_waiting--;
-			job->n_done++;
-		}
+		for (uint64_t i = first; i <= last && !rc; i++)
+			rc = hear(job, chunk, said, i, &s);
 	}
 	cJSON_ArrayForEach (e, fl_json_get(v, "t")) {
-		struct fl_task *t;
+		struct said s = {.phase = FL_TASK_WAITING, .logged = logged};
 
-		if (!item_number(e, 0, job->parts - 1, &first) ||
-		    !item_number(e, 1, UINT32_MAX, &attempt))
+		if (fl_json_item(e, 0, FL_PARTS_MAX, &first) != FL_FIELD_OK ||
+		    fl_json_item(e, 1, UINT32_MAX, &attempt) != FL_FIELD_OK)
 			return -EPROTO;
-		t = fl_task_get(job, (uint32_t)first);
-		if (!t)
-			return -ENOMEM;
-		t->attempt = (uint32_t)attempt;
+		s.attempt = (uint32_t)attempt;
+		if (!rc)
+			rc = hear(job, chunk, said, first, &s);
 	}
 	cJSON_ArrayForEach (e, fl_json_get(v, "m")) {
-		int rc = restore_placed(b, job, e, now);
+		struct said s = {.phase = FL_TASK_PLACED, .logged = logged};
 
-		if (rc)
-			return rc;
+		if (read_placed(e, &s, &first) != 0)
+			return -EPROTO;
+		if (!rc)
+			rc = hear(job, chunk, said, first, &s);
+	}
+	return rc;
+}
+
+static int restore_task(struct fl_books *b, struct fl_job *job, uint32_t index,
+                        const struct said *s, double now)
+{
+	struct fl_task *t = fl_task_get(job, index);
+	struct fl_machine *m;
+
+	if (!t || t->phase != FL_TASK_WAITING)
+		return -EPROTO;
+	if (s->phase == FL_TASK_PLACED) {
+		m = fl_machine_get(&b->machines, s->machine, now);
+		if (!m ||
+		    fl_task_restore(b, job, index, s->attempt, m, s->tenure, s->placed, now) != 0)
+			return -ENOMEM;
+	} else if (s->phase == FL_TASK_DONE) {
+		t->phase = FL_TASK_DONE;
+		job->n_waiting--;
+		job->n_done++;
+	} else {
+		t->attempt = s->attempt;
 	}
-	c->rev = rev;
+	/* The next write of the log replaces this one: it must hold it, until the record does. */
+	if (s->logged)
+		fl_task_touch(b, job, index);
 	return 0;
 }
 
+int fl_chunk_restore(struct fl_books *b, struct fl_job *job, uint32_t chunk, const cJSON *v,
+                     uint64_t rev, struct fl_log *log, double now)
+{
+	struct said said[FL_CHUNK];
+	uint32_t base = chunk * FL_CHUNK;
+	int rc;
+
+	memset(said, 0, sizeof(said));
+	if (chunk >= job->n_chunks || !fl_task_get(job, base))
+		return -EPROTO;
+	rc = read_said(job, chunk, v, false, said);
+	for (int i = 0; log && i < log->n && !rc; i++) {
+		struct fl_log_group *g = &log->at[i];
+
+		if (g->chunk != chunk || strcmp(g->ref, job->ref) != 0)
+			continue;
+		g->taken = true;
+		rc = read_said(job, chunk, g->changes, true, said);
+	}
+	for (uint32_t i = 0; i < FL_CHUNK && !rc; i++)
+		if (said[i].phase != FL_TASK_WAITING || said[i].attempt > 0)
+			rc = restore_task(b, job, base + i, &said[i], now);
+	job->chunks[chunk]->rev = rev;
+	return rc;
+}
+
 int fl_chunk_count(const cJSON *v, uint32_t *done, uint32_t *placed)
 {
-	double first, last;
+	uint64_t first, last;
 	const cJSON *e;
 
 	cJSON_ArrayForEach (e, fl_json_get(v, "d")) {
-		if (!item_number(e, 0, FL_PARTS_MAX, &first) ||
-		    !item_number(e, 1, FL_PARTS_MAX, &last) || last < first)
+		if (fl_json_item(e, 0, FL_PARTS_MAX, &first) != FL_FIELD_OK ||
+		    fl_json_item(e, 1, FL_PARTS_MAX, &last) != FL_FIELD_OK || last < first)
 			return -EPROTO;
 		*done += (uint32_t)(last - first) + 1;
 	}
@@ -331,13 +482,19 @@
 	b->at = now;
 }
 
-double fl_budget_take(struct fl_budget *b, double n, double now)
+double fl_budget_left(struct fl_budget *b, double now)
 {
 	if (now > b->at)
 		b->have += (now - b->at) * b->rate;
 	if (b->have > b->burst)
 		b->have = b->burst;
 	b->at = now;
+	return b->have;
+}
+
+double fl_budget_take(struct fl_budget *b, double n, double now)
+{
+	fl_budget_left(b, now);
 	/* A hair short counts as there: the wait for it could be too short to move a clock. */
 	if (b->have >= n - 1e-9 || b->have >= b->burst) {
 		b->have -= n;
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -12,6 +12,8 @@
 #define FL_PREFIX_FINALS "f/"
 #define FL_PREFIX_PROGRESS "p/"
 #define FL_PREFIX_KEPT "k/"
+#define FL_PREFIX_LOG "w/"
+#define FL_KEY_LOG "w/0" /* in every write of the log */
 
 void fl_key_job(char key[FL_KEY_MAX], const char *ref);
 void fl_key_final(char key[FL_KEY_MAX], const char *ref);
@@ -54,9 +56,39 @@
 void fl_books_list_end(struct fl_books *b, uint64_t rev);
 
 cJSON *fl_chunk_encode(const struct fl_books *b, const struct fl_job *job, uint32_t chunk);
-/* Reads a progress record into tasks and machines; machines not known yet are added. */
+
+/*
+ * The write-ahead log, a few values under FL_PREFIX_LOG: the changes that no progress record holds
+ * yet, of many jobs in one write. Each write of it is complete, so the records can follow at
+ * leisure. What older writes left in it does no harm: of two things said of a task the later one
+ * counts, and attempts only rise.
+ */
+struct fl_log_group {
+	char ref[FL_REF_MAX];
+	uint32_t chunk;
+	cJSON *changes;
+	bool taken;
+};
+
+struct fl_log {
+	struct fl_log_group *at;
+	int n, cap;
+};
+
+/* One group as it goes into a value: the unsaved changes of a chunk; NULL if there are none. */
+char *fl_log_group_encode(const struct fl_books *b, const struct fl_job *job, uint32_t chunk);
+cJSON *fl_log_value_begin(void);
+void fl_log_value_add(cJSON *value, const char *group);
+/* Adds a value's groups; -EPROTO if it cannot be read. */
+int fl_log_read(struct fl_log *log, const cJSON *value);
+void fl_log_free(struct fl_log *log);
+
+/*
+ * Reads a progress record (NULL: there is none) and what the log says beyond it into tasks and
+ * machines; machines not known yet are added. What only the log holds is marked as unsaved.
+ */
 int fl_chunk_restore(struct fl_books *b, struct fl_job *job, uint32_t chunk, const cJSON *v,
-                     uint64_t rev, double now);
+                     uint64_t rev, struct fl_log *log, double now);
 /* Counts of a progress record, for a node that does not lead. */
 int fl_chunk_count(const cJSON *v, uint32_t *done, uint32_t *placed);
 
@@ -68,5 +100,7 @@
 void fl_budget_init(struct fl_budget *b, double rate, double burst, double now);
 /* Seconds to wait before `n` may be spent; 0 spends them. */
 double fl_budget_take(struct fl_budget *b, double n, double now);
+/* What may be spent now. */
+double fl_budget_left(struct fl_budget *b, double now);
 
 #endif
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -20,6 +20,8 @@
 	struct fl_signal dirty; /* something to write */
 	struct fl_signal ended; /* a routine has ended */
 	struct fl_budget writes;
+	uint64_t log_rev; /* KeyRev of the log's first value, which every write of it replaces */
+	bool log_known;
 	struct fl_trash *trash; /* records of jobs that are over, still to be deleted */
 	bool due;               /* a pass is wanted */
 	int resume;
--- a/src/coordination/record.c
+++ b/src/coordination/record.c
@@ -1,6 +1,7 @@
 #include "coordination/record.h"
 
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,7 +13,9 @@
 static const struct {
 	double retry_s;     /* s after a refused write */
 	double batch_bytes; /* bytes of records in one transaction, of 64 KiB */
-} choice = {0.2, 40000};
+	int log_from;       /* records that launches wait for, from which on the log is used */
+	double record_use;  /* share of a value's limit that the log fills */
+} choice = {0.2, 40000, 3, 0.85};
 
 struct batch_item {
 	struct fl_job *job;
@@ -145,7 +148,34 @@
 	return rc;
 }
 
-static int collect(struct fl_node *n, struct fl_multi *m, struct batch_item *items, int *count)
+/* Does something wait for this chunk to be durable? A launch does; what is over can wait. */
+static bool urgent(const struct fl_chunk *c)
+{
+	uint64_t durable = c->saved_gen > c->logged_gen ? c->saved_gen : c->logged_gen;
+
+	if (c->gen <= durable)
+		return false;
+	for (int i = 0; i < FL_CHUNK; i++)
+		if (c->task[i].phase == FL_TASK_PLACED && c->task[i].gen > durable)
+			return true;
+	return false;
+}
+
+static int count_urgent(const struct fl_node *n)
+{
+	int count = 0;
+
+	for (const struct fl_job *job = n->books.dirty; job; job = job->next_dirty)
+		for (uint32_t i = 0; i < job->n_chunks; i++) {
+			const struct fl_chunk *c = fl_job_chunk(job, i);
+
+			count += c && urgent(c);
+		}
+	return count;
+}
+
+static int collect(struct fl_node *n, struct fl_multi *m, struct batch_item *items, int *count,
+                   int most, bool only_urgent)
 {
 	struct fl_job *job, *next;
 	char key[FL_KEY_MAX];
@@ -156,9 +186,9 @@
 		for (uint32_t i = 0; i < job->n_chunks; i++) {
 			struct fl_chunk *c = fl_job_chunk(job, i);
 
-			if (!c || c->gen <= c->saved_gen)
+			if (!c || c->gen <= c->saved_gen || (only_urgent && !urgent(c)))
 				continue;
-			if (*count >= n->config->txn_ops || *count >= BATCH_MAX ||
+			if (*count >= most || *count >= n->config->txn_ops || *count >= BATCH_MAX ||
 			    *count * n->config->value_kb * 1024 > choice.batch_bytes)
 				return 0;
 			if (c->rev_unknown)
@@ -184,7 +214,7 @@
 	return 0;
 }
 
-static int write_batch(struct fl_node *n)
+static int write_batch(struct fl_node *n, int most, bool only_urgent)
 {
 	struct batch_item items[BATCH_MAX];
 	char failed[FL_KEY_MAX];
@@ -194,7 +224,7 @@
 
 	fl_multi_init(&m);
 	fl_multi_when(&m, FL_KEY_LEAD, n->lease.lead_rev);
-	rc = collect(n, &m, items, &count);
+	rc = collect(n, &m, items, &count, most, only_urgent);
 	if (rc || count == 0) {
 		fl_multi_free(&m);
 		return rc ? reread_unknown(n) : 0;
@@ -220,6 +250,143 @@
 	return rc;
 }
 
+/* ---- the write-ahead log ---- */
+
+static void log_key(char key[FL_KEY_MAX], int at)
+{
+	snprintf(key, FL_KEY_MAX, FL_PREFIX_LOG "%d", at);
+}
+
+/* Everything unsaved, in as few values as it fits into; how many, or -E2BIG. */
+static int fill_log(struct fl_node *n, struct fl_multi *m, struct batch_item **items, int *count)
+{
+	size_t limit = (size_t)(n->config->value_kb * 1024 * choice.record_use), used = 0;
+	int most = n->config->txn_ops, values = 0, cap = 0;
+	cJSON *value = NULL;
+	char key[FL_KEY_MAX];
+
+	if (most > choice.batch_bytes / (double)limit)
+		most = (int)(choice.batch_bytes / (double)limit);
+	for (struct fl_job *job = n->books.dirty; job; job = job->next_dirty)
+		for (uint32_t i = 0; i < job->n_chunks; i++) {
+			char *group = fl_log_group_encode(&n->books, job, i);
+			size_t len = group ? strlen(group) + 1 : 0;
+
+			if (!group)
+				continue;
+			if (*count == cap) {
+				struct batch_item *p;
+
+				cap = cap ? 2 * cap : 64;
+				p = realloc(*items, (size_t)cap * sizeof(*p));
+				if (p)
+					*items = p;
+				else
+					len = limit + 1;
+			}
+			if (value && used + len > limit) {
+				log_key(key, values++);
+				fl_multi_put(m, key, value, 0);
+				value = NULL;
+			}
+			if (len > limit || (!value && values == most)) {
+				free(group);
+				cJSON_Delete(value);
+				return -E2BIG;
+			}
+			if (!value) {
+				value = fl_log_value_begin();
+				used = 0;
+			}
+			fl_log_value_add(value, group);
+			used += len;
+			free(group);
+			(*items)[(*count)++] =
+				(struct batch_item){job, i, fl_job_chunk(job, i)->gen};
+		}
+	if (value) {
+		log_key(key, values++);
+		fl_multi_put(m, key, value, 0);
+	}
+	return values;
+}
+
+/* Any write of the log replaces the one before it, so each is made over what surely stands. */
+static int know_log(struct fl_node *n)
+{
+	uint64_t rev = 0;
+	cJSON *v;
+	int rc;
+
+	if (n->lead.log_known)
+		return 0;
+	rc = fl_state_get(&n->state, FL_KEY_LOG, &v, &rev, NULL);
+	cJSON_Delete(v);
+	if (rc && rc != -ENOENT)
+		return rc;
+	n->lead.log_rev = rc == -ENOENT ? 0 : rev;
+	n->lead.log_known = true;
+	return 0;
+}
+
+/* -E2BIG: it does not fit, the records themselves must be written. */
+static int write_log(struct fl_node *n)
+{
+	struct batch_item *items = NULL;
+	char failed[FL_KEY_MAX] = "";
+	struct fl_multi m;
+	int count = 0, values, rc = know_log(n);
+	uint64_t rev;
+
+	if (rc)
+		return rc;
+	fl_multi_init(&m);
+	fl_multi_when(&m, FL_KEY_LEAD, n->lease.lead_rev);
+	fl_multi_when(&m, FL_KEY_LOG, n->lead.log_rev);
+	values = fill_log(n, &m, &items, &count);
+	rc = values < 0 ? values : await_budget(n, values);
+	if (rc || !fl_leading(n)) {
+		fl_multi_free(&m);
+		rc = rc ? rc : -EAGAIN;
+		goto out;
+	}
+	rc = fl_state_multi(&n->state, &m, &rev, failed);
+	fl_debug("record", "log of %d records in %d values: %s", count, values,
+	         rc ? strerror(-rc) : "stored");
+	if (rc == 0)
+		n->lead.log_rev = rev;
+	else if (rc != -EAGAIN)
+		n->lead.log_known = false;
+	/* Only this routine lets go of jobs: those it counted are still there. */
+	for (int i = 0; i < count && rc == 0; i++)
+		items[i].job->chunks[items[i].chunk]->logged_gen = items[i].gen;
+	if (rc == -ESTALE && strcmp(failed, FL_KEY_LEAD) == 0)
+		fl_lease_lost(n, "another leads");
+out:
+	free(items);
+	return rc;
+}
+
+/* What launches wait for: a few records by themselves, many at once by the log. */
+static int write_urgent(struct fl_node *n)
+{
+	int count = count_urgent(n), rc = -E2BIG;
+
+	if (count == 0)
+		return 0;
+	if (count >= choice.log_from)
+		rc = write_log(n);
+	return rc == -E2BIG ? write_batch(n, n->config->txn_ops, true) : rc;
+}
+
+/* The records follow as the budget allows, and leave room for what is urgent. */
+static int write_rest(struct fl_node *n)
+{
+	double left = fl_budget_left(&n->lead.writes, fl_now());
+
+	return left < 1 ? 0 : write_batch(n, (int)left, false);
+}
+
 static void undirty(struct fl_node *n)
 {
 	struct fl_job **at = &n->books.dirty;
@@ -294,23 +461,40 @@
 	return rc;
 }
 
-static int write_all(struct fl_node *n)
+static int finalise_one(struct fl_node *n)
 {
-	struct fl_job *job, *next;
-	int rc = write_batch(n);
-
-	if (rc)
-		return rc;
-	fl_command_push_placed(n);
-	for (job = n->books.dirty; job; job = next) {
-		next = job->next_dirty;
+	for (struct fl_job *job = n->books.dirty; job; job = job->next_dirty)
 		if (is_over(job))
 			return finalise(n, job);
-	}
-	undirty(n);
 	return 0;
 }
 
+static int write_all(struct fl_node *n)
+{
+	int rc = write_urgent(n);
+
+	if (!rc)
+		fl_command_push_placed(n);
+	if (!rc)
+		rc = finalise_one(n);
+	if (!rc)
+		rc = write_rest(n);
+	if (!rc)
+		undirty(n);
+	return rc;
+}
+
+/* Nothing can be written before the budget allows, but something urgent may come up. */
+static int pause_for(struct fl_node *n)
+{
+	double left = fl_budget_left(&n->lead.writes, fl_now());
+
+	if (!n->books.dirty || left >= 1)
+		return 0;
+	return fl_signal_wait(&n->lead.dirty, (1 - left) / n->lead.writes.rate) == -ECANCELED ? -1
+	                                                                                      : 0;
+}
+
 void fl_record_duty(void *arg)
 {
 	struct fl_node *n = arg;
@@ -323,7 +507,7 @@
 				break;
 			continue;
 		}
-		if (write_all(n) != 0 && fl_sleep(choice.retry_s) != 0)
+		if (write_all(n) != 0 ? fl_sleep(choice.retry_s) != 0 : pause_for(n) != 0)
 			break;
 	}
 	n->lead.running--;
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -13,6 +13,7 @@
 	struct fl_node *n;
 	double now;
 	int chunks, orphans, bad;
+	struct fl_log log;
 };
 
 static void load_job(void *ctx, const struct fl_change *ch)
@@ -66,13 +67,44 @@
 		fl_record_discard(l->n, ch->key);
 		return;
 	}
-	if (fl_chunk_restore(&l->n->books, job, chunk, ch->value, ch->rev, l->now) != 0) {
+	if (fl_chunk_restore(&l->n->books, job, chunk, ch->value, ch->rev, &l->log, l->now) != 0) {
 		fl_error("takeover", "%s: cannot be read", ch->key);
 		l->bad++;
 	}
 	l->chunks++;
 }
 
+static void load_log(void *ctx, const struct fl_change *ch)
+{
+	struct load *l = ctx;
+
+	if (fl_log_read(&l->log, ch->value) != 0) {
+		fl_error("takeover", "%s: cannot be read", ch->key);
+		l->bad++;
+	}
+	if (strcmp(ch->key, FL_KEY_LOG) == 0)
+		l->n->lead.log_rev = ch->rev;
+}
+
+/* Chunks that only the log tells of: their records were still to be made. */
+static void load_rest_of_log(struct load *l)
+{
+	struct fl_books *b = &l->n->books;
+
+	for (int i = 0; i < l->log.n; i++) {
+		const struct fl_log_group *g = &l->log.at[i];
+		struct fl_job *job = fl_job_find(b, g->ref);
+
+		/* No such job: it is over, and older writes of the log may stand for ever. */
+		if (g->taken || !job)
+			continue;
+		if (fl_chunk_restore(b, job, g->chunk, NULL, 0, &l->log, l->now) != 0) {
+			fl_error("takeover", "the log's %s/%u: cannot be read", g->ref, g->chunk);
+			l->bad++;
+		}
+	}
+}
+
 int fl_takeover_load(struct fl_node *n)
 {
 	struct load l = {.n = n, .now = fl_now()};
@@ -87,8 +119,14 @@
 	if (!rc) {
 		fl_books_list_end(&n->books, rev);
 		n->books.list_rev = rev;
-		rc = fl_state_list(&n->state, FL_PREFIX_PROGRESS, load_chunk, &l, &rev);
+		rc = fl_state_list(&n->state, FL_PREFIX_LOG, load_log, &l, &rev);
 	}
+	if (!rc)
+		rc = fl_state_list(&n->state, FL_PREFIX_PROGRESS, load_chunk, &l, &rev);
+	if (!rc)
+		load_rest_of_log(&l);
+	n->lead.log_known = rc == 0;
+	fl_log_free(&l.log);
 	if (rc)
 		return rc;
 	if (l.bad) {
--- a/tests/test_reconcile.c
+++ b/tests/test_reconcile.c
@@ -45,10 +45,11 @@
 	struct mail mail[MAIL];
 	int n_mail;
 	char *record[JOBS]; /* progress records, as the state service holds them */
+	char *log[2]; /* and the log; a write need not fill both values, what was there stays */
 	bool really_done[JOBS][PARTS];
 	gsl_rng *g;
 	uint64_t epoch;
-	int launches, dones, takeovers;
+	int launches, dones, takeovers, logs;
 	int calm; /* the larger, the rarer a new epoch: late commands stay dangerous for longer */
 };
 
@@ -223,6 +224,7 @@
 static void take_over(struct world *w)
 {
 	struct fl_node *n = &w->node;
+	struct fl_log log = {0};
 
 	fl_books_forget_tasks(&n->books);
 	memset(&n->lead, 0, sizeof(n->lead));
@@ -230,14 +232,23 @@
 	n->lease.held = true;
 	n->lease.valid_until = 1e18;
 	n->lease.epoch = n->lead.first_epoch = ++w->epoch;
+	for (int i = 0; i < 2; i++) {
+		cJSON *v = w->log[i] ? fl_json_parse(w->log[i], strlen(w->log[i])) : NULL;
+
+		if (v)
+			assert_int_equal(fl_log_read(&log, v), 0);
+		cJSON_Delete(v);
+	}
 	for (int j = 0; j < JOBS; j++) {
 		struct fl_job *job = add_job(w, j);
 		cJSON *v = w->record[j] ? fl_json_parse(w->record[j], strlen(w->record[j])) : NULL;
 
-		if (v)
-			assert_int_equal(fl_chunk_restore(&n->books, job, 0, v, 1, fl_now()), 0);
+		if (v || log.n > 0)
+			assert_int_equal(fl_chunk_restore(&n->books, job, 0, v, 1, &log, fl_now()),
+			                 0);
 		cJSON_Delete(v);
 	}
+	fl_log_free(&log);
 	w->takeovers++;
 }
 
@@ -260,12 +271,49 @@
 	}
 }
 
+/* All that no record holds, in one or two values. */
+static void save_log(struct world *w)
+{
+	cJSON *value[2] = {fl_log_value_begin(), fl_log_value_begin()};
+	int values = 1 + pick(w, 2), n = 0;
+
+	for (int j = 0; j < JOBS; j++) {
+		char ref[FL_REF_MAX], *group;
+		struct fl_job *job;
+
+		ref_of(j, ref);
+		job = fl_job_find(&w->node.books, ref);
+		group = job ? fl_log_group_encode(&w->node.books, job, 0) : NULL;
+		if (!group)
+			continue;
+		fl_log_value_add(value[n++ % values], group);
+		free(group);
+		fl_job_chunk(job, 0)->logged_gen = fl_job_chunk(job, 0)->gen;
+	}
+	for (int i = 0; i < 2; i++) {
+		if (i >= values) {
+			cJSON_Delete(value[i]);
+			continue;
+		}
+		free(w->log[i]);
+		w->log[i] = fl_json_take(value[i]);
+	}
+	w->logs++;
+}
+
 static void save_records(struct world *w)
 {
+	if (pick(w, 2)) {
+		save_log(w);
+		return;
+	}
 	for (int j = 0; j < JOBS; j++) {
 		char ref[FL_REF_MAX];
 		struct fl_job *job;
 
+		/* Records follow one by one, in any order. */
+		if (pick(w, 2))
+			continue;
 		ref_of(j, ref);
 		job = fl_job_find(&w->node.books, ref);
 		if (!job || !fl_job_chunk(job, 0))
@@ -499,6 +547,8 @@
 		drop_answer(&w->worker[i]);
 	for (int i = 0; i < JOBS; i++)
 		free(w->record[i]);
+	free(w->log[0]);
+	free(w->log[1]);
 	fl_books_free(&w->node.books);
 	gsl_rng_free(w->g);
 }
@@ -562,7 +612,7 @@
 	b = &w->node.books;
 	job = fl_job_find(b, "run-000001");
 	v = fl_json_parse(record, strlen(record));
-	assert_int_equal(fl_chunk_restore(b, job, 0, v, 5, fl_now()), 0);
+	assert_int_equal(fl_chunk_restore(b, job, 0, v, 5, NULL, fl_now()), 0);
 	cJSON_Delete(v);
 	assert_int_equal(job->n_done, 2);
 	assert_int_equal(job->zone_unknown, 1);
@@ -577,6 +627,103 @@
 	free(w);
 }
 
+/*
+ * The log is read with the records, whichever is newer: what is done stays done, a higher attempt
+ * counts, and an attempt that was let go of is not placed again by an older word.
+ */
+static void log_and_record_say_the_later_of_two_things(void **state)
+{
+	static const char record[] = "{\"d\":[[0,0]],\"t\":[[1,4]],\"m\":[[2,2,\"m-000005\",1,9],"
+				     "[3,1,\"m-000006\",1,9]]}";
+	static const char older[] = "{\"log\":[[\"run-000001\",0,{\"d\":[],\"t\":[],\"m\":["
+				    "[0,1,\"m-000007\",1,9],[1,4,\"m-000007\",1,9],"
+				    "[2,1,\"m-000007\",1,9]]}]]}";
+	static const char newer[] = "{\"log\":[[\"run-000001\",0,{\"d\":[[3,3]],\"t\":[[2,2]],"
+				    "\"m\":[[4,1,\"m-000008\",1,9]]}]]}";
+	static const char *const bad[] = {"{}", "{\"log\":[[\"x\",0,{}]]}",
+	                                  "{\"log\":[[\"run-000001\",-1,{}]]}",
+	                                  "{\"log\":[[\"run-000001\",0]]}"};
+	struct world *w = malloc(sizeof(*w));
+	struct fl_log log = {0};
+	struct fl_books *b;
+	struct fl_job *job;
+	cJSON *v;
+
+	(void)state;
+	set_up(w, 1);
+	b = &w->node.books;
+	job = fl_job_find(b, "run-000001");
+	for (int i = 0; i < 2; i++) {
+		v = fl_json_parse(i ? newer : older, strlen(i ? newer : older));
+		assert_int_equal(fl_log_read(&log, v), 0);
+		cJSON_Delete(v);
+	}
+	v = fl_json_parse(record, strlen(record));
+	assert_int_equal(fl_chunk_restore(b, job, 0, v, 5, &log, fl_now()), 0);
+	cJSON_Delete(v);
+	assert_true(log.at[0].taken && log.at[1].taken);
+	assert_int_equal(fl_task_peek(job, 0)->phase, FL_TASK_DONE);
+	assert_int_equal(fl_task_peek(job, 1)->phase, FL_TASK_WAITING);
+	assert_int_equal(fl_task_peek(job, 1)->attempt, 4);
+	assert_int_equal(fl_task_peek(job, 2)->phase, FL_TASK_WAITING);
+	assert_int_equal(fl_task_peek(job, 2)->attempt, 2);
+	assert_int_equal(fl_task_peek(job, 3)->phase, FL_TASK_DONE);
+	assert_int_equal(fl_task_peek(job, 4)->phase, FL_TASK_PLACED);
+	assert_int_equal(job->n_placed, 1);
+	assert_int_equal(job->n_done, 2);
+	/* What only the log holds is unsaved here too, so that the next log holds it again. */
+	assert_true(job->queued_dirty);
+	assert_false(fl_task_saved(fl_job_chunk(job, 0), fl_task_peek(job, 4)));
+	assert_true(fl_task_saved(fl_job_chunk(job, 0), fl_task_peek(job, 1)));
+	fl_log_free(&log);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		v = fl_json_parse(bad[i], strlen(bad[i]));
+		assert_int_not_equal(fl_log_read(&log, v), 0);
+		cJSON_Delete(v);
+		fl_log_free(&log);
+	}
+	tear_down(w);
+	free(w);
+}
+
+/* Hundreds of tasks of many jobs become durable in a few values, where records take one each. */
+static void the_log_holds_many_jobs_in_few_values(void **state)
+{
+	struct world *w = malloc(sizeof(*w));
+	size_t bytes = 0;
+	int groups = 0;
+
+	(void)state;
+	set_up(w, 1);
+	w->node.books.teams.at[0].cpus_max = 0;
+	for (int j = 100; j < 160; j++) {
+		struct fl_job *job = add_job(w, j);
+
+		for (uint32_t p = 0; p < PARTS; p++) {
+			char host[FL_NAME_MAX], *group;
+
+			host_of(1000 + j * 2 + (int)p % 2, host);
+			assert_int_equal(
+				fl_task_place(&w->node.books, job, p,
+			                      fl_machine_get(&w->node.books.machines, host, 0), 1,
+			                      0),
+				0);
+			if (p + 1 < PARTS)
+				continue;
+			group = fl_log_group_encode(&w->node.books, job, 0);
+			assert_non_null(group);
+			bytes += strlen(group) + 1;
+			groups++;
+			free(group);
+		}
+	}
+	assert_int_equal(groups, 60);
+	/* 300 placements: at most five values of 4 KiB instead of sixty. */
+	assert_true(bytes < 5 * 0.85 * 4096);
+	tear_down(w);
+	free(w);
+}
+
 /* A watch lags: the submission of a job that was over before the takeover is heard after it. */
 static void a_late_word_brings_no_job_back(void **state)
 {
@@ -716,6 +863,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_job_that_always_fails_does_not_spin),
 		cmocka_unit_test(swept_machines_leave_the_books_whole),
+		cmocka_unit_test(log_and_record_say_the_later_of_two_things),
+		cmocka_unit_test(the_log_holds_many_jobs_in_few_values),
 		cmocka_unit_test(a_late_word_brings_no_job_back),
 		cmocka_unit_test(final_states_at_hand_are_bounded),
 		cmocka_unit_test(no_interleaving_breaks_a_rule),
