A job that has waited avoids cheap machines where many are taken back

Cause: in Dakar a cheap machine is taken every few seconds, half of them without notice, and the jobs that miss 400 s are those whose 200 s tasks are lost two and three times there. The rate is learned; a task's risk of loss counts in the choice among machines with room, once its job has waited 120 s. Ruled out: preemption (these tasks were not stopped), room.

--- a/src/coordination/pass.c
+++ b/src/coordination/pass.c
@@ -210,6 +210,7 @@
 		}
 		s->machines[s->in.n_machines++] = m;
 	}
+	s->in.spot_loss = fl_provision_spot_loss(n);
 	s->in.resume = n->lead.resume;
 	s->in.out_of_time = late;
 	s->in.ctx = s;
--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -16,20 +16,21 @@
 #include "transport/routine.h"
 
 static const struct {
-	double round_s;     /* s between two looks at the machines */
-	double list_s;      /* s between two lists */
-	double kinds_s;     /* s between two looks at prices */
-	double refused_s;   /* s for which a refused place is not asked again */
-	double idle_boots;  /* boot times for which an idle machine is kept */
-	double boot_late;   /* boot times after which a booting machine is no longer counted on */
-	double boot_most;   /* boot times after which a booting machine is given up */
-	double soon_boots;  /* boot times within which an ending task's room is waited for */
-	double learn_s;     /* s over which the arrival of services is counted */
-	double reserve_sd;  /* spreads of the arrivals expected while a machine boots, on top */
-	double tombstone_s; /* s; messages may arrive minutes late */
-	int machines_most;  /* rented in one round */
-	int tries;          /* of one rental that goes unanswered */
-} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.7, 300.0, 2.0, 900.0, 400, 3};
+	double round_s;      /* s between two looks at the machines */
+	double list_s;       /* s between two lists */
+	double kinds_s;      /* s between two looks at prices */
+	double refused_s;    /* s for which a refused place is not asked again */
+	double idle_boots;   /* boot times for which an idle machine is kept */
+	double boot_late;    /* boot times after which a booting machine is no longer counted on */
+	double boot_most;    /* boot times after which a booting machine is given up */
+	double soon_boots;   /* boot times within which an ending task's room is waited for */
+	double learn_s;      /* s over which the arrival of services is counted */
+	double reserve_sd;   /* spreads of the arrivals expected while a machine boots, on top */
+	double tombstone_s;  /* s; messages may arrive minutes late */
+	double spot_prior_s; /* machine-seconds without a loss that are taken for seen at first */
+	int machines_most;   /* rented in one round */
+	int tries;           /* of one rental that goes unanswered */
+} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.7, 300.0, 2.0, 900.0, 3600.0, 400, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
 struct virtual
@@ -411,8 +412,10 @@
 	for (int i = 0; i < known; i++) {
 		struct fl_machine *m = n->books.machines.at[i];
 
-		if (!m->gone && !m->listed && sent > m->created + lag)
-			fl_reconcile_gone(n, m, "no longer listed");
+		if (m->gone || m->listed || sent <= m->created + lag)
+			continue;
+		n->provision.spot_lost += m->spot;
+		fl_reconcile_gone(n, m, "no longer listed");
 	}
 }
 
@@ -495,6 +498,8 @@
 		if (!why)
 			continue;
 		fl_info("cloud", "returning %s: %s", m->name, why);
+		/* Half of those that are taken give no notice, and are missed here first. */
+		n->provision.spot_lost += m->spot && strcmp(why, "silent") == 0;
 		m->deleting = true;
 		list[count] = m;
 		names[count++] = m->name;
@@ -522,6 +527,24 @@
 	free(kinds);
 }
 
+double fl_provision_spot_loss(const struct fl_node *n)
+{
+	return n->provision.spot_lost / (n->provision.spot_s + choice.spot_prior_s);
+}
+
+static void count_spot(struct fl_node *n)
+{
+	double now = fl_now(), since = now - n->provision.counted_at;
+
+	for (int i = 0; i < n->books.machines.n && n->provision.counted_at > 0; i++) {
+		const struct fl_machine *m = n->books.machines.at[i];
+
+		if (m->spot && m->up && !m->gone)
+			n->provision.spot_s += since;
+	}
+	n->provision.counted_at = now;
+}
+
 void fl_provision_begin(struct fl_node *n)
 {
 	double now = fl_now();
@@ -541,6 +564,7 @@
 			continue;
 		/* Here nothing of this duty is under way, and pushes keep their machines. */
 		fl_books_sweep(&n->books, fl_now() - choice.tombstone_s);
+		count_spot(n);
 		return_machines(n);
 		rent_wanted(n);
 		if (fl_now() > n->provision.listed_at + choice.list_s)
--- a/src/coordination/provision.h
+++ b/src/coordination/provision.h
@@ -25,11 +25,15 @@
 	double refused_until[FL_KINDS_KNOWN_MAX][FL_ZONES_MAX][2];
 	double listed_at, kinds_at;
 	struct fl_budget calls;
+	double spot_lost, spot_s; /* cheap machines taken back, and the time that such were up */
+	double counted_at;        /* steady */
 	int spare; /* ordinary machines that may be returned without cutting into the reserve */
 };
 
 void fl_provision_begin(struct fl_node *n);
 void fl_provision_duty(void *node);
+/* Chance a second that a cheap machine is taken back, as seen lately. */
+double fl_provision_spot_loss(const struct fl_node *n);
 /* What the last pass left without room; `short_of` by job. */
 void fl_provision_shortage(struct fl_node *n, struct fl_job **jobs, const uint32_t *short_of,
                            int count);
--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -21,8 +21,9 @@
 	double hold_weight; /* s; a machine that no service holds: empty, it could be returned */
 	double odd_weight;  /* s; such a machine, and dear, for a job that may use a cheap one */
 	double pack_weight; /* s per free accelerator left: fill machines, so that others empty */
+	double again_s;     /* s to start over what was lost, beside the work itself */
 	double min_wait_s;  /* s; so that jobs just submitted are ordered by the other factors */
-} choice = {1e-6, 1000, 8, 8, 1, 0.1};
+} choice = {1e-6, 1000, 8, 8, 1, 30, 0.1};
 
 struct pass {
 	struct fl_sched_in *in;
@@ -122,7 +123,22 @@
 	return fl_team_within_max(t, t->used_cpus + j->cpus, t->used_gpus + j->gpus);
 }
 
-static double score(const struct fl_sched_job *j, const struct fl_sched_machine *m)
+/*
+ * What a cheap machine will probably cost this task: where many are taken back, a long task is lost
+ * again and again there, and its job is the last to end. That matters for a job that has waited, be
+ * it for what it lost; others are welcome to the price.
+ */
+static double risk(const struct fl_sched_in *in, const struct fl_sched_job *j)
+{
+	double est = j->est_s > 0 ? j->est_s : in->params->default_est_s;
+
+	if (j->standing || j->waited_s <= in->params->patience_s)
+		return 0;
+	return fmin(1, in->spot_loss * est) * (est / 2 + choice.again_s);
+}
+
+static double score(const struct fl_sched_in *in, const struct fl_sched_job *j,
+                    const struct fl_sched_machine *m)
 {
 	double s = choice.pack_weight * (m->gpus - j->gpus);
 	bool cached = false;
@@ -133,6 +149,8 @@
 		s += j->image_gb / (m->pull_gb_s > 0 ? m->pull_gb_s : 1);
 	if (!m->held)
 		s += choice.hold_weight + (j->reclaimable && !m->spot ? choice.odd_weight : 0);
+	if (m->spot)
+		s += risk(in, j);
 	if (j->apart)
 		s += choice.zone_weight * j->zone_placed[m->zone];
 	return s;
@@ -153,7 +171,7 @@
 		if ((zone >= 0 && m->zone != zone) || !fits(j, m->cpus, m->gpus, m->ram_gb) ||
 		    !allowed(j, m) || !zone_ok(j, m->zone) || (ends_by && ends_by[i] < j->est_s))
 			continue;
-		s = score(j, m);
+		s = score(in, j, m);
 		if (s < best_score) {
 			best_score = s;
 			best = i;
@@ -369,7 +387,7 @@
 			continue;
 		cost = victims_on(p, j, i, owed, set, &n_set);
 		if (cost < INFINITY)
-			cost += score(j, m);
+			cost += score(p->in, j, m);
 		if (cost < best_cost) {
 			best_cost = cost;
 			best = i;
--- a/src/coordination/schedule.h
+++ b/src/coordination/schedule.h
@@ -68,6 +68,7 @@
 	struct fl_sched_run *runs;
 	int n_runs;
 	struct fl_team *teams;       /* a copy: used amounts are updated by the pass */
+	double spot_loss;            /* chance a second that a cheap machine is taken back */
 	int resume;                  /* place in the order where the last pass ran out of time */
 	bool (*out_of_time)(void *); /* NULL: no budget */
 	void *ctx;
--- a/tests/test_schedule.c
+++ b/tests/test_schedule.c
@@ -85,9 +85,12 @@
 	return t->gpus > 0 ? g <= t->gpus + 1e-6 : g <= 1e-6;
 }
 
+/* Chance a second that a cheap machine is taken back. */
+static double loss;
+
 static double m_score(const struct fl_sched_job *j, const struct fl_sched_machine *m)
 {
-	double s = m->gpus - j->gpus;
+	double s = m->gpus - j->gpus, est = j->est_s > 0 ? j->est_s : 3600;
 	int at = 0;
 
 	while (at < FL_CACHE_NOTE && m->cache[at] != j->bundle)
@@ -96,6 +99,8 @@
 		s += j->image_gb / m->pull_gb_s;
 	if (!m->held)
 		s += j->reclaimable && !m->spot ? 16 : 8;
+	if (m->spot && !j->standing && j->waited_s > 120)
+		s += fmin(loss * est, 1) * (30 + est / 2);
 	if (j->apart)
 		s += 1000.0 * j->zone_placed[m->zone];
 	return s;
@@ -493,6 +498,7 @@
 		.runs = w->runs,
 		.n_runs = w->n_runs,
 		.teams = w->teams,
+		.spot_loss = loss,
 	};
 
 	assert_int_equal(fl_schedule(&in, out), 0);
@@ -508,6 +514,7 @@
 
 	memset(m, 0, sizeof(*m));
 	m->w = *w;
+	loss = w->n_machines % 2 * 0.002;
 	model_pass(m);
 	run_real(w, &out);
 	assert_int_equal(out.n_starts, m->n_starts);
