--- a/tests/standins.c
+++ b/tests/standins.c
@@ -373,6 +373,8 @@
 		fl_sleep(2.5);
 }
 
+bool standins_key(const char *name) { return find_key(name) != NULL; }
+
 const char *standins_leader(void)
 {
 	static char node[64];
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -37,6 +37,8 @@
 void standins_start(void);
 /* Once their routines have ended. */
 void standins_free(void);
+/* Does this key stand in the state service? */
+bool standins_key(const char *name);
 /* The node that holds the lead, or an empty string. */
 const char *standins_leader(void);
 /* Machines that were rented, heard nothing, and are not taken back yet. */
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -266,7 +266,6 @@
 	for (int step = 1; step <= 9; step++) {
 		char ref[24];
 
-		snprintf(ref, sizeof(ref), "run-%06d", 10 + step);
 		end_node(standins_leader()[0] ? standins_leader()[1] - '0' : 0);
 		standins.cut_after = step;
 		for (int i = 0; i < NODES; i++)
@@ -274,18 +273,24 @@
 				start_node(i);
 		while (standins.cut_after > 0)
 			fl_sleep(0.02);
-		EXPECT(submit(ref, "sweep", 2, step));
+		/* Many at once, so that their placements go through the log. */
+		for (int i = 0; i < 4; i++) {
+			snprintf(ref, sizeof(ref), "run-%06d", 100 * step + i);
+			EXPECT(submit(ref, "sweep", 2, step));
+		}
 		EXPECT(await_leader());
 	}
 	EXPECT(until_status("run-000005", "\"Status\":\"done\"", 0));
 	/* The troubles are over: every accepted job is known to every node, and done. */
 	standins.state_refuses = standins.state_slow = standins.state_loses = 0;
-	for (int step = 1; step <= 9; step++) {
-		char ref[24];
+	for (int step = 1; step <= 9; step++)
+		for (int i = 0; i < 4; i++) {
+			char ref[24];
 
-		snprintf(ref, sizeof(ref), "run-%06d", 10 + step);
-		EXPECT(known_everywhere(ref, "\"Status\":\"done\""));
-	}
+			snprintf(ref, sizeof(ref), "run-%06d", 100 * step + i);
+			EXPECT(known_everywhere(ref, "\"Status\":\"done\""));
+		}
+	EXPECT(standins_key("w/0"));
 	EXPECT(known_everywhere("run-000001", "\"Status\":\"done\""));
 	EXPECT(known_everywhere("run-000002", "aborted"));
 	until = fl_now() + PATIENCE_S;
