Too many silent at once is seen before the first is due, by zone, and of ordinary machines

Ruled out: digests (its workers found no node in reach within their lease). Machines quiet for 0.6 leases count, by zone too (0.6 of it), and cheap ones, taken in waves, do not.

--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -450,7 +450,8 @@
 	return 0;
 }
 
-static const char *why_return(struct fl_node *n, struct fl_machine *m, double now, double leases)
+static const char *why_return(struct fl_node *n, struct fl_machine *m, double now,
+                              const double leases[FL_ZONES_MAX])
 {
 	const struct fl_kind *k = m->kind >= 0 ? &n->books.machines.kinds[m->kind] : NULL;
 	bool empty = m->n_slots == 0 && m->foreign == 0;
@@ -488,9 +489,11 @@
 {
 	const char *names[FL_DELETE_MAX];
 	struct fl_machine *list[FL_DELETE_MAX];
-	double now = fl_now(), leases = fl_silence_leases(n, now);
+	double now = fl_now(), leases[FL_ZONES_MAX];
 	int count = 0, rc;
 
+	fl_silence_leases(n, now, leases);
+
 	for (int i = 0; i < n->books.machines.n && count < FL_DELETE_MAX; i++) {
 		struct fl_machine *m = n->books.machines.at[i];
 		const char *why = m->returned ? NULL : why_return(n, m, now, leases);
--- a/src/coordination/silence.c
+++ b/src/coordination/silence.c
@@ -7,11 +7,14 @@
 #include "coordination/node.h"
 
 static const struct {
-	double extra_s;     /* s beyond a worker's lease before a silent machine is given up */
-	double mass_share;  /* share of machines silent at once that points at us, not at them */
-	double mass_leases; /* leases of silence after which they are given up all the same */
-	double with_zone_s; /* s within which a machine and its zone's controller fall silent */
-} choice = {0.5, 0.4, 3.0, 5.0};
+	double extra_s;      /* s beyond a worker's lease before a silent machine is given up */
+	int few;             /* machines that may be silent at once in any case */
+	double quiet_leases; /* leases of silence from which on a machine counts as quiet */
+	double mass_share;   /* share of all machines quiet at once that points at links */
+	double zone_share;   /* the same of one zone's */
+	double mass_leases;  /* leases of silence after which they are given up all the same */
+	double with_zone_s;  /* s within which a machine and its zone's controller fall silent */
+} choice = {0.5, 2, 0.6, 0.4, 0.6, 3.0, 5.0};
 
 static double last_sign(const struct fl_node *n, const struct fl_machine *m)
 {
@@ -42,28 +45,52 @@
 }
 
 bool fl_silence_lasts(const struct fl_node *n, const struct fl_machine *m, double now,
-                      double leases)
+                      const double leases[FL_ZONES_MAX])
 {
 	double allowed;
 
 	if (!m->up && m->n_slots == 0)
 		return false;
-	allowed = fmax(leases * n->config->lease_s, n->config->lease_s + kept_by_zone(n, m));
+	allowed = fmax((m->zone >= 0 ? leases[m->zone] : 1) * n->config->lease_s,
+	               n->config->lease_s + kept_by_zone(n, m));
 	return now - last_sign(n, m) > allowed + choice.extra_s;
 }
 
-/* Many silent at once point at this node's own links: then it takes much longer to give up. */
-double fl_silence_leases(const struct fl_node *n, double now)
+struct share {
+	int quiet, all;
+};
+
+static bool too_many(struct share s, double most)
 {
-	int up = 0, quiet = 0;
+	return s.quiet > choice.few && s.quiet > most * s.all;
+}
+
+/*
+ * Many silent at once point at our links to them, or theirs to us, rather than at each of them:
+ * then it takes much longer to give them up. That must show before the first of them is due, or
+ * they go by twos and threes. Cheap machines are taken in waves, so ordinary ones are the measure,
+ * in all and in each zone.
+ */
+void fl_silence_leases(const struct fl_node *n, double now, double leases[FL_ZONES_MAX])
+{
+	struct share all = {0}, zone[FL_ZONES_MAX] = {{0}};
 
 	for (int i = 0; i < n->books.machines.n; i++) {
 		const struct fl_machine *m = n->books.machines.at[i];
+		bool quiet;
 
-		if (m->gone || (!m->up && m->n_slots == 0))
+		if (m->gone || m->deleting || m->spot || (!m->up && m->n_slots == 0))
+			continue;
+		quiet = now - last_sign(n, m) > choice.quiet_leases * n->config->lease_s;
+		all.all++;
+		all.quiet += quiet;
+		if (m->zone < 0)
 			continue;
-		up++;
-		quiet += now - last_sign(n, m) > n->config->lease_s + choice.extra_s;
+		zone[m->zone].all++;
+		zone[m->zone].quiet += quiet;
 	}
-	return quiet > 2 && quiet > choice.mass_share * up ? choice.mass_leases : 1;
+	for (int z = 0; z < FL_ZONES_MAX; z++)
+		leases[z] = too_many(all, choice.mass_share) || too_many(zone[z], choice.zone_share)
+		                    ? choice.mass_leases
+		                    : 1;
 }
--- a/src/coordination/silence.h
+++ b/src/coordination/silence.h
@@ -8,10 +8,10 @@
 
 struct fl_node;
 
-/* Leases of silence to be allowed now: more if too many machines are silent at once. */
-double fl_silence_leases(const struct fl_node *n, double now);
+/* Leases of silence to be allowed now, by zone: more where too many are silent at once. */
+void fl_silence_leases(const struct fl_node *n, double now, double leases[FL_ZONES_MAX]);
 /* The machine has been silent for longer than is allowed. */
 bool fl_silence_lasts(const struct fl_node *n, const struct fl_machine *m, double now,
-                      double leases);
+                      const double leases[FL_ZONES_MAX]);
 
 #endif
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -566,8 +566,10 @@
 
 static bool given_up(struct fixture *f)
 {
-	return fl_silence_lasts(&f->node, machine(f), fl_now(),
-	                        fl_silence_leases(&f->node, fl_now()));
+	double leases[FL_ZONES_MAX];
+
+	fl_silence_leases(&f->node, fl_now(), leases);
+	return fl_silence_lasts(&f->node, machine(f), fl_now(), leases);
 }
 
 /* Alone it is given up after a lease; with its zone's controllers, when these must stop keeping. */
@@ -602,6 +604,48 @@
 	assert_true(given_up(f));
 }
 
+static struct fl_machine *another(struct fixture *f, int i, bool spot, int zone)
+{
+	char name[FL_NAME_MAX];
+	struct fl_machine *m;
+
+	snprintf(name, sizeof(name), "m-%06d", i);
+	m = fl_machine_get(&f->node.books.machines, name, fl_now() - 100);
+	fl_books_describe(&f->node.books, m, 0, zone, spot, "x");
+	m->up = true;
+	m->heard = fl_now();
+	return m;
+}
+
+/*
+ * Found on a standard day: a zone apart, whose controller had just ended, went by twos and threes,
+ * each time too few to look like a fault of the links, until all of it was returned.
+ */
+static void a_zone_does_not_go_by_twos_and_threes(void **state)
+{
+	struct fixture *f = *state;
+
+	hear(f, report(1, 1, EPOCH, NULL, 0), FL_WAY_REPORT);
+	place(f, 0);
+	for (int i = 2; i < 22; i++)
+		another(f, i, false, 1);
+	/* This one is due; three more of its zone are on their way there, of four. */
+	for (int i = 30; i < 33; i++)
+		another(f, i, false, 0)->heard = fl_now() - 7;
+	silent_for(f, 11);
+	assert_false(given_up(f));
+	silent_for(f, 31);
+	assert_true(given_up(f));
+	/* A wave of cheap machines says nothing of the links. */
+	silent_for(f, 11);
+	for (int i = 30; i < 33; i++)
+		fl_machine_find(&f->node.books.machines, i == 30   ? "m-000030"
+		                                         : i == 31 ? "m-000031"
+		                                                   : "m-000032")
+			->spot = true;
+	assert_true(given_up(f));
+}
+
 /* A deaf machine is given up like a silent one, though it reports; many at once point at us. */
 static void deafness_counts_as_silence_but_not_of_all_at_once(void **state)
 {
@@ -615,13 +659,8 @@
 	}
 	assert_true(given_up(f));
 	for (int i = 2; i < 6; i++) {
-		char name[FL_NAME_MAX];
-		struct fl_machine *m;
+		struct fl_machine *m = another(f, i, false, 0);
 
-		snprintf(name, sizeof(name), "m-%06d", i);
-		m = fl_machine_get(&f->node.books.machines, name, fl_now() - 100);
-		m->up = true;
-		m->heard = fl_now();
 		m->unheard = 3;
 		m->unheard_since = fl_now() - 12;
 	}
@@ -646,6 +685,7 @@
 		T(a_worker_is_answered_before_it_is_sent_home),
 		T(a_node_alone_says_so),
 		T(a_zone_that_falls_silent_keeps_its_machines),
+		T(a_zone_does_not_go_by_twos_and_threes),
 		T(deafness_counts_as_silence_but_not_of_all_at_once),
 	};
 
