A job that cannot be finished holds up no others; a hung watch is missed for 4 s at most

Found by reading: the first job whose final write failed kept all later ones, and the records, waiting.

--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -12,16 +12,16 @@
 #include "transport/routine.h"
 
 static const struct {
-	double retry_s;       /* s between tries at what a node needs before it can serve */
-	double hold_s;        /* s; length of a watch */
-	double relay_s;       /* s for a relayed poll; users wait 2 s for it */
+	double retry_s; /* s between tries at what a node needs before it can serve */
+	double hold_s;  /* s; length of a watch: one that hangs unseen is missed for so long */
+	double relay_s; /* s for a relayed poll; users wait 2 s for it */
 	double relay_write_s; /* s for a relayed cancel or submission; users wait 5 s */
 	int later_s;          /* s; Retry-After of a 503 */
 	double down_s;        /* s after a refusal in which the state service counts as down */
 	int peer_conns;       /* connections kept open to each peer */
 	double finals_share;  /* share of the memory for final states kept at hand */
 	double user_share;    /* share of all connections that users and workers may hold */
-} choice = {0.5, 10.0, 1.2, 2.0, 1, 0.3, 6, 0.1, 0.8};
+} choice = {0.5, 4.0, 1.2, 2.0, 1, 0.3, 6, 0.1, 0.8};
 
 void fl_refuse(struct fl_response *resp, int status, const char *fmt, ...)
 {
--- a/src/coordination/record.c
+++ b/src/coordination/record.c
@@ -461,27 +461,36 @@
 	return rc;
 }
 
+/* One that cannot be finished now must not hold up the others. */
 static int finalise_one(struct fl_node *n)
 {
-	for (struct fl_job *job = n->books.dirty; job; job = job->next_dirty)
-		if (is_over(job))
-			return finalise(n, job);
-	return 0;
+	struct fl_job *job, *next;
+	int rc = 0;
+
+	for (job = n->books.dirty; job; job = next) {
+		/* Only this routine takes jobs off the list, so the next one stays on it. */
+		next = job->next_dirty;
+		if (!is_over(job))
+			continue;
+		rc = finalise(n, job);
+		if (rc == 0 || rc == -ECANCELED || !fl_leading(n))
+			return rc;
+	}
+	return rc;
 }
 
 static int write_all(struct fl_node *n)
 {
-	int rc = write_urgent(n);
+	int rc = write_urgent(n), finals;
 
-	if (!rc)
-		fl_command_push_placed(n);
-	if (!rc)
-		rc = finalise_one(n);
-	if (!rc)
-		rc = write_rest(n);
+	if (rc)
+		return rc;
+	fl_command_push_placed(n);
+	finals = finalise_one(n);
+	rc = fl_leading(n) ? write_rest(n) : -EAGAIN;
 	if (!rc)
 		undirty(n);
-	return rc;
+	return rc ? rc : finals;
 }
 
 /* Nothing can be written before the budget allows, but something urgent may come up. */
