--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -209,6 +209,33 @@
 	assert_true(fl_hearing_lost_at(machine(f)) == INFINITY);
 }
 
+/* However prompt its reports: a launch, or a higher epoch, that shows no effect twice is enough. */
+static void what_shows_no_effect_was_not_heard(void **state)
+{
+	struct fixture *f = *state;
+
+	hear(f, report(1, 1, EPOCH, NULL, 0), FL_WAY_REPORT);
+	place(f, 0);
+	for (uint64_t serial = 2; serial < 5; serial++) {
+		ago(f, 1);
+		hear(f, report(1, serial, EPOCH, NULL, 0), FL_WAY_REPORT);
+	}
+	assert_true(fl_hearing_doubted(machine(f)));
+	hear(f, report(1, 5, EPOCH, NULL, 0), FL_WAY_COMMAND);
+	assert_false(fl_hearing_doubted(machine(f)));
+	fl_task_peek(f->job, 0)->told = false;
+	f->node.lease.epoch++;
+	for (uint64_t serial = 6; serial < 9; serial++) {
+		ago(f, 1);
+		fl_task_peek(f->job, 0)->stop = FL_STOP_PREEMPT;
+		hear(f, report(1, serial, EPOCH, NULL, 0), FL_WAY_REPORT);
+	}
+	assert_true(fl_hearing_doubted(machine(f)));
+	ago(f, 1);
+	hear(f, report(1, 9, EPOCH + 1, NULL, 0), FL_WAY_REPORT);
+	assert_false(fl_hearing_doubted(machine(f)));
+}
+
 static void one_lost_answer_is_no_deafness(void **state)
 {
 	struct fixture *f = *state;
@@ -674,6 +701,7 @@
 	const struct CMUnitTest tests[] = {
 		T(a_deaf_machine_gets_nothing_new_and_loses_nothing_early),
 		T(an_idle_deaf_machine_is_found_too),
+		T(what_shows_no_effect_was_not_heard),
 		T(one_lost_answer_is_no_deafness),
 		T(a_late_copy_after_a_takeover_is_answered_and_nothing_else),
 		T(a_late_copy_within_a_leadership_changes_nothing),
