--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -20,6 +20,7 @@
 	double list_s;       /* s between two lists */
 	double kinds_s;      /* s between two looks at prices */
 	double refused_s;    /* s for which a refused place is not asked again */
+	double doubt_cost;   /* times the price that a zone counts for while it cannot be reached */
 	double idle_boots;   /* boot times for which an idle machine is kept */
 	double boot_late;    /* boot times after which a booting machine is no longer counted on */
 	double boot_most;    /* boot times after which a booting machine is given up */
@@ -30,7 +31,7 @@
 	double spot_prior_s; /* machine-seconds without a loss that are taken for seen at first */
 	int machines_most;   /* rented in one round */
 	int tries;           /* of one rental that goes unanswered */
-} choice = {0.5, 3.0, 30.0, 20.0, 0.75, 1.6, 3.0, 0.7, 300.0, 2.0, 900.0, 3600.0, 400, 3};
+} choice = {0.5, 3.0, 30.0, 20.0, 2.0, 0.75, 1.6, 3.0, 0.7, 300.0, 2.0, 900.0, 3600.0, 400, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
 struct virtual
@@ -124,6 +125,9 @@
 				cost = unit_price(&ms->kinds[k], job, s) *
 				       (1 + 1e-4 * p->zone_machines[z] +
 				        (job->apart ? 0.1 * placed[z] : 0));
+				/* A machine that cannot report is paid for nothing. */
+				if (p->n->provision.doubted_until[z] > p->now)
+					cost *= choice.doubt_cost;
 				if (cost < best_cost) {
 					best_cost = cost;
 					kind = k;
@@ -493,6 +497,9 @@
 	int count = 0, rc;
 
 	fl_silence_leases(n, now, leases);
+	for (int z = 0; z < FL_ZONES_MAX; z++)
+		if (leases[z] > 1)
+			n->provision.doubted_until[z] = now + choice.refused_s;
 
 	for (int i = 0; i < n->books.machines.n && count < FL_DELETE_MAX; i++) {
 		struct fl_machine *m = n->books.machines.at[i];
--- a/src/coordination/provision.h
+++ b/src/coordination/provision.h
@@ -23,6 +23,7 @@
 	bool busy; /* a rental is under way: what is short is not known till it is answered */
 	uint64_t rentals; /* names given out in this epoch */
 	double refused_until[FL_KINDS_KNOWN_MAX][FL_ZONES_MAX][2];
+	double doubted_until[FL_ZONES_MAX]; /* too many machines of the zone fell silent */
 	double listed_at, kinds_at;
 	struct fl_budget calls;
 	double spot_lost, spot_s; /* cheap machines taken back, and the time that such were up */
