Idle machines go back after 0.4 boot times instead of 0.75

Cause: a fifth of the paid machine time in both grown deployments is room that stands empty; with hundreds of machines some room ends every second, so that a new job seldom needs one that idled.

--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -31,7 +31,7 @@
 	double spot_prior_s; /* machine-seconds without a loss that are taken for seen at first */
 	int machines_most;   /* rented in one round */
 	int tries;           /* of one rental that goes unanswered */
-} choice = {0.5, 3.0, 30.0, 20.0, 2.0, 0.75, 1.6, 3.0, 0.7, 300.0, 2.0, 900.0, 3600.0, 400, 3};
+} choice = {0.5, 3.0, 30.0, 20.0, 2.0, 0.4, 1.6, 3.0, 0.7, 300.0, 2.0, 900.0, 3600.0, 400, 3};
 
 /* A machine that is booting or about to be rented, filled in thought. */
 struct virtual
