--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -103,7 +103,9 @@
 	return (spot ? k->spot_price : k->price) / (n > 0 ? n : 1);
 }
 
-static struct virtual *rent_for(struct plan *p, const struct fl_job *job, const uint32_t *placed)
+/* `only`: the zone, or -1 for any. */
+static struct virtual *rent_for(struct plan *p, const struct fl_job *job, const uint32_t *placed,
+                                int only)
 {
 	const struct fl_machines *ms = &p->n->books.machines;
 	double best_cost = INFINITY;
@@ -116,7 +118,7 @@
 			for (int s = 0; s < 2; s++) {
 				double cost;
 
-				if (!(ms->kinds[k].zones >> z & 1) ||
+				if ((only >= 0 && z != only) || !(ms->kinds[k].zones >> z & 1) ||
 				    !kind_fits(&ms->kinds[k], job) || !job_allows(job, k, z, s) ||
 				    !zone_allows(job, placed, z) ||
 				    p->n->provision.refused_until[k][z][s] > p->now)
@@ -155,7 +157,7 @@
 			v = c;
 	}
 	if (!v)
-		v = rent_for(p, job, placed);
+		v = rent_for(p, job, placed, -1);
 	if (!v)
 		return false;
 	v->cpus -= job->cpus;
@@ -248,8 +250,9 @@
 	struct fl_books *b = &p->n->books;
 	const struct fl_job *like = NULL;
 	struct fl_job *job, *tmp;
-	double tasks = 0, need, have = 0;
+	double tasks = 0, need, have[FL_ZONES_MAX] = {0};
 	uint32_t none[FL_ZONES_MAX] = {0};
+	int parts;
 
 	HASH_ITER (hh, b->jobs, job, tmp) {
 		if (job->kind != FL_STANDING || job->tier < FL_URGENT ||
@@ -259,24 +262,31 @@
 		if (!like || job->submitted > like->submitted)
 			like = job;
 	}
-	p->n->provision.spare = 1 << 20;
+	p->n->provision.spare_parts = 0;
 	if (!like || b->machines.n_kinds == 0)
 		return;
+	/* What must be apart needs room in each zone, also to replace what is lost in one. */
+	parts = like->apart ? b->zones.n : 1;
+	p->n->provision.spare_parts = parts;
 	need = tasks / choice.learn_s * b->machines.kinds[0].ready_s;
-	need = ceil(need + choice.reserve_sd * sqrt(need));
+	need = ceil((need + choice.reserve_sd * sqrt(need)) / parts);
 	for (int i = 0; i < b->machines.n; i++) {
 		const struct fl_machine *m = b->machines.at[i];
 
 		if (!m->gone && m->described && m->up)
-			have += room_on(p->n, m, like);
+			have[m->zone % parts] += room_on(p->n, m, like);
 	}
-	p->n->provision.spare = (int)(have - need);
+	for (int z = 0; z < parts; z++)
+		p->n->provision.spare[z] = (int)(have[z] - need);
 	for (int i = 0; i < p->count; i++)
 		if (!p->at[i].spot)
-			have += tasks_fit(like, p->at[i].cpus, p->at[i].gpus, p->at[i].ram);
-	while (have < need && rent_for(p, like, none))
-		have += fmax(1, tasks_fit(like, p->at[p->count - 1].cpus, p->at[p->count - 1].gpus,
-		                          p->at[p->count - 1].ram));
+			have[p->at[i].zone % parts] +=
+				tasks_fit(like, p->at[i].cpus, p->at[i].gpus, p->at[i].ram);
+	for (int z = 0; z < parts; z++)
+		while (have[z] < need && rent_for(p, like, none, parts > 1 ? z : -1))
+			have[z] += fmax(1, tasks_fit(like, p->at[p->count - 1].cpus,
+			                             p->at[p->count - 1].gpus,
+			                             p->at[p->count - 1].ram));
 }
 
 static void keep_want(struct fl_provision *pr, const struct plan *p)
@@ -483,9 +493,13 @@
 	if (m->spot)
 		return "idle";
 	/* An ordinary machine may be part of the reserve for services. */
-	if (n->provision.spare < k->gpus)
-		return NULL;
-	n->provision.spare -= (int)k->gpus;
+	if (n->provision.spare_parts > 0) {
+		int *spare = &n->provision.spare[m->zone % n->provision.spare_parts];
+
+		if (*spare < k->gpus)
+			return NULL;
+		*spare -= (int)k->gpus;
+	}
 	return "idle";
 }
 
--- a/src/coordination/provision.h
+++ b/src/coordination/provision.h
@@ -28,7 +28,9 @@
 	struct fl_budget calls;
 	double spot_lost, spot_s; /* cheap machines taken back, and the time that such were up */
 	double counted_at;        /* steady */
-	int spare; /* ordinary machines that may be returned without cutting into the reserve */
+	/* Tasks of services for which ordinary machines may be returned without cutting into the
+	 * reserve: by zone, or in all if there is one part; with no part there is no reserve. */
+	int spare[FL_ZONES_MAX], spare_parts;
 };
 
 void fl_provision_begin(struct fl_node *n);
