--- a/src/coordination/reconcile.c
+++ b/src/coordination/reconcile.c
@@ -42,11 +42,13 @@
 	return m->direct_epoch == 0 || r->epoch > m->direct_epoch;
 }
 
-/* A finished entry may be dropped by the worker only when no late launch can restart it. */
-static bool may_forget(const struct fl_node *n, const struct fl_machine *m,
-                       const struct fl_report *r)
+/*
+ * A finished entry may be dropped by the worker only when no late launch can restart it. One of an
+ * older leader cannot: a report that counts carries this leadership's epoch.
+ */
+static bool may_forget(const struct fl_machine *m, const struct fl_report *r)
 {
-	return r->epoch >= n->lead.first_epoch && r->epoch > m->direct_epoch;
+	return r->epoch > m->direct_epoch;
 }
 
 static bool wanted(const struct fl_job *job, const struct fl_task *t)
@@ -149,7 +151,7 @@
 			fl_signal_wake(&n->lead.work);
 		}
 	}
-	if (!may_forget(n, m, r))
+	if (!may_forget(m, r))
 		n->lead.unforgotten++;
 	else if (orders && (!job || p->index >= job->parts || fl_task_durable(job, p->index)))
 		fl_orders_add(orders, FL_FORGET, p->ref, p->index, p->attempt, 0);
