--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -35,11 +35,11 @@
 	bool listed;    /* was in the list being read */
 	bool gone;      /* proven gone: a tombstone against late reports */
 	double gone_at;
-	bool pushing;                   /* a direct command is under way */
-	bool want_push;                 /* something for a direct command has come up */
-	uint64_t tenure, serial, epoch; /* of the newest report */
-	uint64_t direct_epoch;          /* highest epoch of a direct launch sent here; 0: none */
-	double heard;                   /* steady time of the newest report */
+	bool pushing;            /* a direct command is under way */
+	bool want_push;          /* something for a direct command has come up */
+	uint64_t tenure, serial; /* of the newest report */
+	uint64_t direct_epoch;   /* highest epoch of a direct launch sent here; 0: none */
+	double heard;            /* steady time of the newest report */
 	double reached; /* and of the newest that orders could answer, or came by a command */
 	/* Whether it hears us, which the arrival of its reports does not show: hearing.h. */
 	double answered;         /* steady; of the newest answer to a report; 0: none */
--- a/src/coordination/reconcile.c
+++ b/src/coordination/reconcile.c
@@ -266,7 +266,6 @@
 	describe(n, m, r);
 	m->tenure = r->tenure;
 	m->serial = r->serial;
-	m->epoch = r->epoch;
 	m->heard = now;
 	m->up = true;
 	m->foreign = 0;
