A single silent machine is given up after 0.7 leases where nothing else is amiss

Earlier tries to give up sooner failed behind cuts; now that too many silent at once, a zone's silence and controllers' own comings show in time, it can be told apart.

--- a/src/coordination/silence.c
+++ b/src/coordination/silence.c
@@ -12,9 +12,10 @@
 	double quiet_leases; /* leases of silence from which on a machine counts as quiet */
 	double mass_share;   /* share of all machines quiet at once that points at links */
 	double zone_share;   /* the same of one zone's */
+	double calm_leases;  /* leases of silence if hardly any is silent and nothing else is amiss */
 	double mass_leases;  /* leases of silence after which they are given up all the same */
 	double with_zone_s;  /* s within which a machine and its zone's controller fall silent */
-} choice = {0.5, 2, 0.6, 0.4, 0.6, 3.0, 5.0};
+} choice = {0.5, 2, 0.6, 0.4, 0.6, 0.7, 3.0, 5.0};
 
 static double last_sign(const struct fl_node *n, const struct fl_machine *m)
 {
@@ -51,8 +52,9 @@
 
 	if (!m->up && m->n_slots == 0)
 		return false;
-	allowed = fmax((m->zone >= 0 ? leases[m->zone] : 1) * n->config->lease_s,
-	               n->config->lease_s + kept_by_zone(n, m));
+	allowed = (m->zone >= 0 ? leases[m->zone] : 1) * n->config->lease_s;
+	if (kept_by_zone(n, m) > 0)
+		allowed = fmax(allowed, n->config->lease_s + kept_by_zone(n, m));
 	return now - last_sign(n, m) > allowed + choice.extra_s;
 }
 
@@ -65,6 +67,18 @@
 	return s.quiet > choice.few && s.quiet > most * s.all;
 }
 
+/*
+ * Every controller has been there for a lease, so that no worker is looking for a new one: a machine
+ * that is silent now is dead or cut off by itself, and its tasks end with its lease in any case.
+ */
+static bool calm(const struct fl_node *n, double now)
+{
+	for (int i = 0; i < n->n_peers; i++)
+		if (!n->peers[i].up || now < n->peers[i].up_since + n->config->lease_s)
+			return false;
+	return now > n->lead.since + n->config->lease_s;
+}
+
 /*
  * Many silent at once point at our links to them, or theirs to us, rather than at each of them:
  * then it takes much longer to give them up. That must show before the first of them is due, or
@@ -89,8 +103,11 @@
 		zone[m->zone].all++;
 		zone[m->zone].quiet += quiet;
 	}
-	for (int z = 0; z < FL_ZONES_MAX; z++)
-		leases[z] = too_many(all, choice.mass_share) || too_many(zone[z], choice.zone_share)
-		                    ? choice.mass_leases
-		                    : 1;
+	for (int z = 0; z < FL_ZONES_MAX; z++) {
+		leases[z] = 1;
+		if (too_many(all, choice.mass_share) || too_many(zone[z], choice.zone_share))
+			leases[z] = choice.mass_leases;
+		else if (all.quiet <= choice.few && calm(n, now))
+			leases[z] = choice.calm_leases;
+	}
 }
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -611,6 +611,14 @@
 	f->node.n_peers = 1;
 	strcpy(p->location, "a");
 	p->up = true;
+	/* All controllers well for long: nothing but the machine is amiss, and less is allowed. */
+	p->up_since = fl_now() - 100;
+	silent_for(f, 7);
+	assert_false(given_up(f));
+	silent_for(f, 8);
+	assert_true(given_up(f));
+	/* One came up lately: workers may still be looking for a node. */
+	p->up_since = fl_now() - 5;
 	silent_for(f, 9);
 	assert_false(given_up(f));
 	silent_for(f, 11);
