--- a/tests/test_schedule.c
+++ b/tests/test_schedule.c
@@ -571,6 +571,103 @@
 	gsl_rng_free(g);
 }
 
+/* Takes the model's starts into the world, as a leader would. */
+static long carry_on(struct world *w, const struct model *m)
+{
+	for (int i = 0; i < m->n_starts && w->n_runs < R; i++) {
+		struct fl_sched_job *j = &w->jobs[m->starts[i].job];
+		struct fl_sched_machine *k = &w->machines[m->starts[i].machine];
+
+		w->runs[w->n_runs] = (struct fl_sched_run){.machine = m->starts[i].machine,
+		                                           .team = j->team,
+		                                           .tier = j->tier,
+		                                           .standing = j->standing,
+		                                           .movable = true,
+		                                           .cpus = j->cpus,
+		                                           .gpus = j->gpus,
+		                                           .ram_gb = j->ram_gb,
+		                                           .left_s = j->standing ? INFINITY : 50,
+		                                           .lost_s = 0.001 * w->n_runs};
+		w->n_runs++;
+		k->cpus -= j->cpus;
+		k->gpus -= j->gpus;
+		k->ram_gb -= j->ram_gb;
+		w->teams[j->team].used_cpus += j->cpus;
+		w->teams[j->team].used_gpus += j->gpus;
+		j->zone_placed[k->zone]++;
+		j->waiting--;
+		j->begun = true;
+	}
+	return m->n_starts;
+}
+
+/* Some runs end: what was stopped, and of the rest one in so many. */
+static void let_end(gsl_rng *g, struct world *w, const struct model *m, int one_in)
+{
+	bool stopped[R] = {false};
+
+	for (int i = 0; i < m->n_stops; i++)
+		stopped[m->stops[i]] = true;
+	for (int i = w->n_runs - 1; i >= 0; i--) {
+		const struct fl_sched_run *r = &w->runs[i];
+		struct fl_sched_machine *k = &w->machines[r->machine];
+
+		if (!stopped[i] && pick(g, one_in) != 0)
+			continue;
+		k->cpus += r->cpus;
+		k->gpus += r->gpus;
+		k->ram_gb += r->ram_gb;
+		w->teams[r->team].used_cpus -= r->cpus;
+		w->teams[r->team].used_gpus -= r->gpus;
+		w->runs[i] = w->runs[--w->n_runs];
+	}
+}
+
+/*
+ * Hundreds of machines and thousands of tasks played through, pass after pass: the decisions are
+ * the plain model's all along, and the work stays in proportion to what is started.
+ */
+static void hundreds_of_machines_are_played_through(void **state)
+{
+	gsl_rng *g = gsl_rng_alloc(gsl_rng_mt19937);
+	struct model *m = malloc(sizeof(*m));
+	struct world *w = malloc(sizeof(*w)), *fresh = malloc(sizeof(*fresh));
+	struct world *before = malloc(sizeof(*before));
+	struct tally t = {0};
+	long started = 0;
+
+	(void)state;
+	gsl_rng_set(g, 11);
+	do
+		random_world(g, w, J, M, 0);
+	while (w->n_jobs < J - 10 || w->n_machines < M - 20);
+	for (int i = 0; i < T; i++)
+		w->teams[i] = (struct fl_team){.gpus = 200 * i, .gpus_max = 600};
+	for (int pass = 0; pass < 30; pass++) {
+		*before = *w;
+		compare(m, w, &t);
+		*w = *before;
+		started += carry_on(w, m);
+		let_end(g, w, m, 3);
+		/* Those that have all they want make room for others; the rest wait on. */
+		do
+			random_world(g, fresh, J, M, 0);
+		while (fresh->n_jobs < w->n_jobs);
+		for (int i = 0; i < w->n_jobs; i++) {
+			w->jobs[i].waited_s += 7;
+			if (w->jobs[i].waiting == 0)
+				w->jobs[i] = fresh->jobs[i];
+		}
+	}
+	assert_true(started > 2000);
+	assert_true(t.looks <= t.bound);
+	free(m);
+	free(w);
+	free(fresh);
+	free(before);
+	gsl_rng_free(g);
+}
+
 /* ---- the weak points, one by one ---- */
 
 static int no_cache[FL_CACHE_NOTE];
@@ -928,6 +1025,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(the_pass_decides_like_the_plain_model),
+		cmocka_unit_test(hundreds_of_machines_are_played_through),
 		cmocka_unit_test(hostile_arrivals_pass_nothing_over),
 		cmocka_unit_test(scattered_room_is_no_room),
 		cmocka_unit_test(a_burst_cannot_push_the_top_job_back_for_ever),
