--- a/tests/standins.c
+++ b/tests/standins.c
@@ -389,7 +389,7 @@
 
 /* ---- workers ---- */
 
-enum { TASKS = 64, MACHINES = 64 };
+enum { TASKS = 64, MACHINES = 512 };
 
 struct task {
 	struct fl_part part;
