A cancelled job's tasks are nobody's to keep past their time, and age across takeovers

A cancellation whose write went unanswered was told by the record and never heard of by the leader. Ruled out: late launches (the attempts had run since the first minute). Change: the record says when it was cancelled; no node renews the lease of a worker that holds such a task when another lease might outlast cancel_s; proofs count only with fresh knowledge of the jobs; a leader takes the record's word.

--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -22,7 +22,8 @@
 	return f;
 }
 
-void fl_final_add(struct fl_books *b, const char *ref, enum fl_status status, uint32_t parts)
+void fl_final_add(struct fl_books *b, const char *ref, enum fl_status status, uint32_t parts,
+                  double cancelled_at)
 {
 	struct fl_final *f = fl_final_find(b, ref);
 
@@ -34,6 +35,7 @@
 	strcpy(f->ref, ref);
 	f->status = (uint8_t)status;
 	f->parts = parts;
+	f->cancelled_at = cancelled_at;
 	HASH_ADD_STR(b->finals, ref, f);
 	if (b->finals_most > 0 && HASH_COUNT(b->finals) > b->finals_most) {
 		struct fl_final *oldest = b->finals;
@@ -126,7 +128,7 @@
 
 void fl_job_finalise(struct fl_books *b, struct fl_job *job, enum fl_status status)
 {
-	fl_final_add(b, job->ref, status, job->parts);
+	fl_final_add(b, job->ref, status, job->parts, job->aborted_at);
 	fl_job_drop(b, job);
 }
 
@@ -281,7 +283,7 @@
 	t->tenure = tenure;
 	t->placed = placed;
 	/* Placed by an earlier leader: what it has run since would be lost by stopping it. */
-	t->since = now - (placed > 0 ? fmax(0, fl_wall() - placed) : 0);
+	t->since = fmin(now, fl_since(placed));
 	/*
 	 * Its image is there, and stays when the task is lost with its worker's session: after an
 	 * end of all controllers hundreds of tasks start again, and best where they ran.
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -53,7 +53,7 @@
 	double submitted;  /* wall time */
 	uint64_t rev;      /* KeyRev of the job record */
 	bool aborted;      /* its final record says so; tasks may still have to go */
-	double aborted_at; /* steady */
+	double aborted_at; /* steady; when its user was told, or before */
 	bool finishing;    /* its final record is being written */
 	bool unsure;       /* a final write went unanswered: only the record knows */
 	uint32_t n_waiting, n_placed, n_running, n_done;
@@ -76,6 +76,7 @@
 	char ref[FL_REF_MAX];
 	uint8_t status; /* fl_status */
 	uint32_t parts;
+	double cancelled_at; /* steady, of one that is ABORTED: its tasks must be gone in time */
 };
 
 struct fl_books {
@@ -99,7 +100,8 @@
 void fl_job_finalise(struct fl_books *b, struct fl_job *job, enum fl_status status);
 /* Forgets a live job; its tasks must hold no machine. */
 void fl_job_drop(struct fl_books *b, struct fl_job *job);
-void fl_final_add(struct fl_books *b, const char *ref, enum fl_status status, uint32_t parts);
+void fl_final_add(struct fl_books *b, const char *ref, enum fl_status status, uint32_t parts,
+                  double cancelled_at);
 
 /*
  * NULL for a chunk that was never touched. A job that was cancelled before any of its tasks was
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "transport/clock.h"
+
 void fl_key_job(char key[FL_KEY_MAX], const char *ref)
 {
 	snprintf(key, FL_KEY_MAX, FL_PREFIX_JOBS "%s", ref);
@@ -46,16 +48,26 @@
 	return o;
 }
 
-cJSON *fl_job_record_final(enum fl_status status, uint32_t parts, const struct fl_run *run,
-                           double submitted)
+static cJSON *add_final(cJSON *o, enum fl_status status, uint32_t parts)
 {
-	cJSON *o = run ? fl_job_record_live(run, submitted) : cJSON_CreateObject();
-
 	cJSON_AddStringToObject(o, "final", fl_status_name(status));
 	cJSON_AddNumberToObject(o, "parts", parts);
 	return o;
 }
 
+cJSON *fl_job_record_final(enum fl_status status, uint32_t parts)
+{
+	return add_final(cJSON_CreateObject(), status, parts);
+}
+
+cJSON *fl_job_record_cancelled(const struct fl_run *run, double submitted, double cancelled)
+{
+	cJSON *o = add_final(fl_job_record_live(run, submitted), FL_ABORTED, run->parts);
+
+	cJSON_AddNumberToObject(o, "cancelled", cancelled);
+	return o;
+}
+
 void fl_job_describe(const struct fl_books *b, const struct fl_job *job, struct fl_run *out)
 {
 	memset(out, 0, sizeof(*out));
@@ -99,6 +111,7 @@
 		out->parts = (uint32_t)parts;
 		out->has_run = fl_json_get(v, "Ref") && fl_run_decode(v, &out->run) == NULL;
 		fl_json_amount(v, "submitted", &out->submitted);
+		fl_json_amount(v, "cancelled", &out->cancelled);
 		return 0;
 	}
 	if (fl_run_decode(v, &out->run) != NULL)
@@ -180,10 +193,12 @@
 	/* A leader meets its own final writes again here; it finalises when the tasks are gone. */
 	if (job && b->leading)
 		return job;
-	if (job)
+	if (job) {
+		job->aborted_at = fl_since(rec.cancelled);
 		fl_job_finalise(b, job, rec.status);
-	else
-		fl_final_add(b, ref, rec.status, rec.parts);
+	} else {
+		fl_final_add(b, ref, rec.status, rec.parts, fl_since(rec.cancelled));
+	}
 	return NULL;
 }
 
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -29,6 +29,7 @@
 	bool has_run; /* a cancelled job keeps its description until its tasks are gone */
 	struct fl_run run;
 	double submitted;
+	double cancelled; /* wall; 0: not, or not said */
 };
 
 /*
@@ -40,8 +41,9 @@
                    uint64_t *rev);
 
 cJSON *fl_job_record_live(const struct fl_run *run, double submitted);
-cJSON *fl_job_record_final(enum fl_status status, uint32_t parts, const struct fl_run *run,
-                           double submitted);
+cJSON *fl_job_record_final(enum fl_status status, uint32_t parts);
+/* A job that its user has cancelled and whose tasks have still to go. */
+cJSON *fl_job_record_cancelled(const struct fl_run *run, double submitted, double cancelled);
 void fl_job_describe(const struct fl_books *b, const struct fl_job *job, struct fl_run *out);
 int fl_job_record_decode(const cJSON *v, struct fl_job_record *out);
 /*
--- a/src/coordination/answer.c
+++ b/src/coordination/answer.c
@@ -6,6 +6,7 @@
 #include "coordination/command.h"
 #include "coordination/node.h"
 #include "coordination/record.h"
+#include "transport/clock.h"
 #include "transport/log.h"
 
 static void say_final(struct fl_response *resp, const struct fl_final *f, bool counts)
@@ -48,6 +49,9 @@
 	} else if (rc != 0) {
 		fl_later(resp, "the state service does not answer");
 	} else if (rec.final) {
+		job = n->lead.active ? fl_job_find(&n->books, ref) : NULL;
+		if (job && v && rev > job->rev)
+			fl_record_heard(n, job, &rec, rev);
 		resp->status = 200;
 		resp->body =
 			fl_status_encode(ref, rec.status, rec.status == FL_DONE ? rec.parts : 0, 0);
@@ -85,7 +89,7 @@
 	fl_multi_init(&m);
 	fl_multi_when(&m, FL_KEY_LEAD, n->lease.lead_rev);
 	fl_multi_when(&m, key, job->rev);
-	fl_multi_put(&m, key, fl_job_record_final(FL_ABORTED, job->parts, &run, job->submitted), 0);
+	fl_multi_put(&m, key, fl_job_record_cancelled(&run, job->submitted, fl_wall()), 0);
 	return fl_state_multi(&n->state, &m, rev, NULL);
 }
 
@@ -94,6 +98,7 @@
 	struct fl_final *f = fl_final_find(&n->books, ref);
 	struct fl_job *job = f ? NULL : fl_job_find(&n->books, ref);
 	enum fl_status status;
+	double asked = fl_now();
 	uint64_t rev;
 	bool done = false;
 	int rc;
@@ -128,8 +133,8 @@
 	if (job && rc == 0) {
 		job->unsure = false;
 		job->rev = rev;
-		fl_final_add(&n->books, ref, FL_ABORTED, job->parts);
-		fl_command_stop_job(n, job);
+		fl_final_add(&n->books, ref, FL_ABORTED, job->parts, asked);
+		fl_command_stop_job(n, job, asked);
 		fl_info("jobs", "%s is cancelled", ref);
 	} else if (job && rc == -EAGAIN) {
 		job->unsure = false;
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -131,11 +131,41 @@
 }
 
 /* Never a lower epoch: the worker would drop it and wait there until its lease ends. */
-static bool has_proof(const struct fl_node *n, uint64_t epoch)
+static bool has_epoch(const struct fl_node *n, uint64_t epoch)
 {
 	return n->epoch > 0 && n->epoch >= epoch && fl_now() - n->proof_at <= fl_keeper_keep_s(n);
 }
 
+static bool knows_jobs(const struct fl_node *n)
+{
+	return fl_now() - n->jobs_at <= fl_keeper_keep_s(n);
+}
+
+static bool has_proof(const struct fl_node *n, uint64_t epoch)
+{
+	return has_epoch(n, epoch) && knows_jobs(n);
+}
+
+/*
+ * Found with controllers eight times slower: none led for long, none got a stop through, and all
+ * of them kept with fresh proofs what had been cancelled a minute ago. What was cancelled so long
+ * ago that it may outlive its time with another lease is therefore nobody's to keep; and a
+ * cancellation that this node has not heard of is younger than what it knows of the jobs.
+ */
+static bool holds_overdue(const struct fl_node *n, const struct fl_report *r)
+{
+	double before = fl_now() - fl_keeper_keep_s(n);
+
+	for (int i = 0; i < r->n_parts; i++) {
+		const struct fl_final *f = fl_final_find(&n->books, r->parts[i].ref);
+
+		if (r->parts[i].state != FL_ENDED && f && f->status == FL_ABORTED &&
+		    f->cancelled_at < before)
+			return true;
+	}
+	return false;
+}
+
 /*
  * A node that has just started is asked by many workers at once and has no proof yet. One read
  * serves them all: a worker refused meanwhile loses seconds of its lease on nodes that are down.
@@ -146,7 +176,10 @@
 
 	if (has_proof(n, epoch))
 		return true;
-	if (k->refreshing) {
+	if (has_epoch(n, epoch)) {
+		if (!n->jobs_known)
+			fl_signal_wait(&n->jobs_listed, choice.refresh_wait_s);
+	} else if (k->refreshing) {
 		fl_signal_wait(&k->refreshed, choice.refresh_wait_s);
 	} else if (fl_now() > k->refreshed_at + choice.refresh_s) {
 		k->refreshing = true;
@@ -162,7 +195,10 @@
 {
 	struct fl_orders orders;
 
-	if (may_keep(n, r->epoch)) {
+	if (holds_overdue(n, r)) {
+		fl_debug("keeper", "%s is refused: it holds what is cancelled", r->host);
+		fl_refuse(resp, 503, "a cancelled job's task is there");
+	} else if (may_keep(n, r->epoch)) {
 		fl_orders_init(&orders, n->epoch);
 		resp->status = 200;
 		resp->body = fl_orders_take(&orders);
@@ -298,14 +334,19 @@
 static void answer_leading(struct fl_node *n, const struct fl_report *r, struct fl_response *resp)
 {
 	struct fl_orders orders;
+	int rc;
 
 	fl_orders_init(&orders, n->lease.epoch);
-	if (fl_reconcile_report(n, r, &orders, FL_WAY_REPORT) == 0) {
+	rc = fl_reconcile_report(n, r, &orders, FL_WAY_REPORT);
+	/* What is only answered, not taken in, gets no stop either: see holds_overdue. */
+	if (rc == 0 && (orders.n > 0 || !holds_overdue(n, r))) {
 		resp->status = 200;
 		resp->body = fl_orders_take(&orders);
 	} else {
 		cJSON_Delete(orders.root);
-		fl_refuse(resp, 503, "this machine is not known any more");
+		fl_refuse(resp, 503,
+		          rc ? "this machine is not known any more"
+		             : "a cancelled job's task is there");
 	}
 }
 
--- a/src/coordination/lease.c
+++ b/src/coordination/lease.c
@@ -281,7 +281,7 @@
 
 void fl_lease_start(struct fl_node *n)
 {
-	n->proof_at = -1e9;
+	n->proof_at = n->jobs_at = -1e9;
 	fl_spawn(lease_duty, n);
 	fl_spawn(watch_duty, n);
 }
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -7,21 +7,22 @@
 #include <string.h>
 
 #include "coordination/answer.h"
+#include "coordination/record.h"
 #include "transport/clock.h"
 #include "transport/log.h"
 #include "transport/routine.h"
 
 static const struct {
-	double retry_s; /* s between tries at what a node needs before it can serve */
-	double hold_s;  /* s; length of a watch: one that hangs unseen is missed for so long */
-	double relay_s; /* s for a relayed poll; users wait 2 s for it */
+	double retry_s;       /* s between tries at what a node needs before it can serve */
+	double hold_s;        /* s; length of a watch, whose end shows that nothing was missed */
+	double relay_s;       /* s for a relayed poll; users wait 2 s for it */
 	double relay_write_s; /* s for a relayed cancel or submission; users wait 5 s */
 	int later_s;          /* s; Retry-After of a 503 */
 	double down_s;        /* s after a refusal in which the state service counts as down */
 	int peer_conns;       /* connections kept open to each peer */
 	double finals_share;  /* share of the memory for final states kept at hand */
 	double user_share;    /* share of all connections that users and workers may hold */
-} choice = {0.5, 4.0, 1.2, 2.0, 1, 0.3, 6, 0.1, 0.8};
+} choice = {0.5, 1.0, 1.2, 2.0, 1, 0.3, 6, 0.1, 0.8};
 
 void fl_refuse(struct fl_response *resp, int status, const char *fmt, ...)
 {
@@ -387,13 +388,18 @@
 {
 	struct fl_node *n = ctx;
 	const char *ref = ch->key + strlen(FL_PREFIX_JOBS);
+	struct fl_job_record rec;
+	struct fl_job *job;
 
 	if (strlen(ref) >= FL_REF_MAX)
 		return;
-	if (fl_books_apply(&n->books, ref, ch->value, ch->rev) && n->lead.active) {
-		n->lead.due = true;
-		fl_signal_wake(&n->lead.work);
-	}
+	job = fl_books_apply(&n->books, ref, ch->value, ch->rev);
+	if (!job || !n->lead.active)
+		return;
+	if (ch->rev > job->rev && fl_job_record_decode(ch->value, &rec) == 0 && rec.final)
+		fl_record_heard(n, job, &rec, ch->rev);
+	n->lead.due = true;
+	fl_signal_wake(&n->lead.work);
 }
 
 static void jobs_duty(void *arg)
@@ -405,6 +411,7 @@
 		if (fl_sleep(choice.retry_s / 5) != 0)
 			return;
 	while (!fl_cancelled()) {
+		double sent = fl_now();
 		int rc;
 
 		if (rev == 0) {
@@ -417,8 +424,11 @@
 			rc = fl_state_follow(&n->state, FL_PREFIX_JOBS, &rev, choice.hold_s, on_job,
 			                     n);
 		}
+		if (rc == 0)
+			n->jobs_at = sent;
 		if (rc == 0 && !n->jobs_known) {
 			n->jobs_known = true;
+			fl_signal_wake(&n->jobs_listed);
 			fl_info("node", "%s is ready", n->config->node);
 		}
 		if (rc == -ERANGE)
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -33,6 +33,8 @@
 	int n_peers;
 	char boot[96]; /* names this process, not only this node */
 	bool kinds_known, jobs_known;
+	double jobs_at; /* steady; every change of a job record up to then is in the books */
+	struct fl_signal jobs_listed; /* the first list of them has come */
 
 	/* What is known of leadership, with the steady time at which it was surely true. */
 	char leader[FL_NAME_MAX];
--- a/src/coordination/record.c
+++ b/src/coordination/record.c
@@ -44,6 +44,20 @@
 	return 0;
 }
 
+void fl_record_heard(struct fl_node *n, struct fl_job *job, const struct fl_job_record *rec,
+                     uint64_t rev)
+{
+	double at = fl_since(rec->cancelled);
+
+	job->rev = rev;
+	job->unsure = false;
+	if (!rec->final || job->aborted)
+		return;
+	fl_final_add(&n->books, job->ref, FL_ABORTED, job->parts, at);
+	fl_command_stop_job(n, job, at);
+	fl_info("jobs", "%s is cancelled, says its record", job->ref);
+}
+
 /*
  * A final write went unanswered: what do the records say? By ref, not by pointer: the job may be
  * gone when the answer comes. Only the writing routine may let go of it, so if it turns out to be
@@ -60,14 +74,8 @@
 	*over = rc == 0 && v == NULL;
 	*status = rec.status;
 	job = n->lead.active ? fl_job_find(&n->books, ref) : NULL;
-	if (rc == 0 && v && job) {
-		job->rev = rev;
-		job->unsure = false;
-		if (rec.final && !job->aborted) {
-			fl_final_add(&n->books, ref, FL_ABORTED, job->parts);
-			fl_command_stop_job(n, job);
-		}
-	}
+	if (rc == 0 && v && job)
+		fl_record_heard(n, job, &rec, rev);
 	cJSON_Delete(v);
 	return rc;
 }
@@ -116,7 +124,7 @@
 	fl_multi_when(&m, key, job->rev);
 	fl_multi_delete(&m, key);
 	fl_key_final(key, job->ref);
-	fl_multi_put(&m, key, fl_job_record_final(status, job->parts, NULL, 0), 0);
+	fl_multi_put(&m, key, fl_job_record_final(status, job->parts), 0);
 	for (; rest < job->n_chunks && m.n_apply < n->config->txn_ops; rest++) {
 		if (!has_record(fl_job_chunk(job, rest)))
 			continue;
--- a/src/coordination/record.h
+++ b/src/coordination/record.h
@@ -4,13 +4,20 @@
 
 #include <stdbool.h>
 
-#include "protocol/users.h"
+#include "bookkeeping/ledger.h"
 
 struct fl_node;
 
 /* A progress record that nothing needs any more. */
 void fl_record_discard(struct fl_node *n, const char *key);
 void fl_record_free_trash(struct fl_node *n);
+/*
+ * What the record of a live job says, however it was come by. Found with slow controllers: the
+ * write of a cancellation went unanswered and so did the read after it. The record told the user,
+ * and the leader, which took only its own writes for news, stopped nothing.
+ */
+void fl_record_heard(struct fl_node *n, struct fl_job *job, const struct fl_job_record *rec,
+                     uint64_t rev);
 /* A final write went unanswered: what do the records say? See the definition. */
 int fl_record_reread_job(struct fl_node *n, const char *ref, bool *over, enum fl_status *status);
 /* The routine of a leader, with its fl_node. */
--- a/src/coordination/silence.c
+++ b/src/coordination/silence.c
@@ -12,7 +12,8 @@
 	double quiet_leases; /* leases of silence from which on a machine counts as quiet */
 	double mass_share;   /* share of all machines quiet at once that points at links */
 	double zone_share;   /* the same of one zone's */
-	double calm_leases;  /* leases of silence if hardly any is silent and nothing else is amiss */
+	double calm_leases;  /* leases of silence if hardly any is silent and nothing else is amiss
+	                      */
 	double mass_leases;  /* leases of silence after which they are given up all the same */
 	double with_zone_s;  /* s within which a machine and its zone's controller fall silent */
 } choice = {0.5, 2, 0.6, 0.4, 0.6, 0.7, 3.0, 5.0};
@@ -68,8 +69,9 @@
 }
 
 /*
- * Every controller has been there for a lease, so that no worker is looking for a new one: a machine
- * that is silent now is dead or cut off by itself, and its tasks end with its lease in any case.
+ * Every controller has been there for a lease, so that no worker is looking for a new one: a
+ * machine that is silent now is dead or cut off by itself, and its tasks end with its lease in any
+ * case.
  */
 static bool calm(const struct fl_node *n, double now)
 {
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -43,10 +43,11 @@
 			job->rev = ch->rev;
 			job->listed = true;
 			job->aborted = true;
-			job->aborted_at = l->now;
+			/* Each new leader counting anew, one that leads briefly stops nothing. */
+			job->aborted_at = fl_since(rec.cancelled);
 		}
 	}
-	fl_final_add(b, ref, rec.status, rec.parts);
+	fl_final_add(b, ref, rec.status, rec.parts, fl_since(rec.cancelled));
 }
 
 static void load_chunk(void *ctx, const struct fl_change *ch)
--- a/src/transport/clock.c
+++ b/src/transport/clock.c
@@ -1,5 +1,6 @@
 #include "transport/clock.h"
 
+#include <math.h>
 #include <time.h>
 
 static double read_clock(clockid_t id)
@@ -13,3 +14,5 @@
 double fl_now(void) { return read_clock(CLOCK_MONOTONIC); }
 
 double fl_wall(void) { return read_clock(CLOCK_REALTIME); }
+
+double fl_since(double wall) { return fl_now() - (wall > 0 ? fmax(0, fl_wall() - wall) : 0); }
--- a/src/transport/clock.h
+++ b/src/transport/clock.h
@@ -4,5 +4,7 @@
 
 double fl_now(void);
 double fl_wall(void);
+/* The steady time of a wall time past; a wall time of 0 is not known, and counts as now. */
+double fl_since(double wall);
 
 #endif
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -18,6 +18,7 @@
 #include "coordination/hearing.h"
 #include "coordination/node.h"
 #include "coordination/reconcile.h"
+#include "coordination/record.h"
 #include "coordination/silence.h"
 #include "transport/clock.h"
 
@@ -386,7 +387,7 @@
 		strcpy(n->peers[i].location, "b");
 		n->peers[i].heard_at = -1e9;
 	}
-	n->state.last_ok = fl_now();
+	n->jobs_at = n->state.last_ok = fl_now();
 	n->state.last_refusal = -1e9;
 }
 
@@ -434,6 +435,106 @@
 	assert_true(k->tenure == 2 && k->serial == 3 && !k->stored);
 }
 
+/* As every node hears of it from the records: the job was cancelled so long ago. */
+static void hear_of_cancel(struct fixture *f, double seconds)
+{
+	struct fl_run run;
+	cJSON *v;
+
+	fl_job_describe(&f->node.books, f->job, &run);
+	v = fl_job_record_cancelled(&run, 1, fl_wall() - seconds);
+	assert_null(fl_books_apply(&f->node.books, f->job->ref, v, 9));
+	cJSON_Delete(v);
+}
+
+/*
+ * Found with controllers eight times slower: nobody led for long enough to stop anything, and all
+ * kept what had been cancelled, with fresh proofs, past the time in which it must be gone.
+ */
+static void what_was_cancelled_is_not_kept_past_its_time(void **state)
+{
+	struct fixture *f = *state;
+	double keep = f->config.cancel_s - f->config.lease_s - 1;
+	struct fl_part p = running(0, 1);
+	struct fl_final *final;
+
+	follow(f, 0);
+	/* One more lease still ends before the tasks must be gone. */
+	hear_of_cancel(f, keep - 2);
+	assert_int_equal(send_report(f, report(1, 20, EPOCH, &p, 1), NULL), 200);
+	final = fl_final_find(&f->node.books, p.ref);
+	assert_non_null(final);
+	final->cancelled_at -= 3;
+	assert_int_equal(send_report(f, report(1, 21, EPOCH, &p, 1), NULL), 503);
+	/* Others are kept on, and so is this one when the task has ended. */
+	strcpy(p.ref, "run-000002");
+	assert_int_equal(send_report(f, report(1, 22, EPOCH, &p, 1), NULL), 200);
+	strcpy(p.ref, "run-000001");
+	p.state = FL_ENDED;
+	assert_int_equal(send_report(f, report(1, 23, EPOCH, &p, 1), NULL), 200);
+	/* With the jobs not heard of for so long, any may have been cancelled. */
+	f->node.jobs_at = fl_now() - keep - 1;
+	f->node.jobs_known = true;
+	assert_int_equal(send_report(f, report(1, 24, EPOCH, NULL, 0), NULL), 503);
+}
+
+/* Nor by a leader that answers a report without taking it in, as each new one does at first. */
+static void a_new_leader_does_not_keep_it_either(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_part p = running(0, 1);
+	double keep = f->config.cancel_s - f->config.lease_s - 1;
+
+	f->node.books.leading = false;
+	hear_of_cancel(f, keep + 2);
+	lead(f, EPOCH + 1);
+	assert_int_equal(send_report(f, report(1, 20, EPOCH, &p, 1), NULL), 503);
+	/* One that is taken in has its task stopped, and the answer may renew the lease. */
+	assert_int_equal(send_report(f, report(1, 21, EPOCH + 1, &p, 1), NULL), 200);
+	assert_int_equal(send_report(f, report(1, 21, EPOCH + 1, &p, 1), NULL), 503);
+}
+
+/*
+ * Found with controllers eight times slower: the write of a cancellation went unanswered, and the
+ * leader, which took the record for its own old news, stopped nothing that its user was told of.
+ */
+static void a_leader_hears_of_a_cancellation_from_the_record(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_job_record rec;
+	struct fl_run run;
+	cJSON *v;
+
+	f->job->unsure = true;
+	fl_job_describe(&f->node.books, f->job, &run);
+	v = fl_job_record_cancelled(&run, 1, fl_wall() - 3);
+	assert_ptr_equal(fl_books_apply(&f->node.books, f->job->ref, v, 9), f->job);
+	assert_int_equal(fl_job_record_decode(v, &rec), 0);
+	cJSON_Delete(v);
+	fl_record_heard(&f->node, f->job, &rec, 9);
+	assert_true(f->job->aborted && !f->job->unsure && f->job->rev == 9);
+	assert_true(fabs(f->job->aborted_at - (fl_now() - 3)) < 1);
+	assert_non_null(fl_final_find(&f->node.books, f->job->ref));
+}
+
+/* A new leader goes on counting: else one that leads briefly would never give a machine up. */
+static void a_cancellation_keeps_its_age_across_a_takeover(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_job_record rec;
+	struct fl_run run;
+	cJSON *v;
+
+	fl_job_describe(&f->node.books, f->job, &run);
+	v = fl_job_record_cancelled(&run, 1, fl_wall() - 20);
+	assert_int_equal(fl_job_record_decode(v, &rec), 0);
+	cJSON_Delete(v);
+	assert_true(rec.final && rec.has_run && rec.status == FL_ABORTED);
+	assert_true(fabs(fl_since(rec.cancelled) - (fl_now() - 20)) < 1);
+	/* Records of earlier versions do not say: they count from now. */
+	assert_true(fabs(fl_since(0) - fl_now()) < 1);
+}
+
 /* What goes through the state service says the same of a machine as its report did. */
 static void a_kept_report_survives_its_short_form(void **state)
 {
@@ -487,7 +588,7 @@
 		f->node.peers[i].heard_at = now - for_s;
 	}
 	f->node.probed_at = now;
-	f->node.proof_at = now - for_s;
+	f->node.proof_at = f->node.jobs_at = now - for_s;
 }
 
 /* The workers have been here for a while. */
@@ -608,7 +709,7 @@
 		free(resp.body);
 	}
 	/* What is over is known for good, by any node. */
-	fl_final_add(&f->node.books, "run-000050", FL_DONE, 2);
+	fl_final_add(&f->node.books, "run-000050", FL_DONE, 2, 0);
 	resp = call(f, FL_CALL_POLL, "run-000050", NULL);
 	assert_int_equal(resp.status, 200);
 	free(resp.body);
@@ -753,6 +854,10 @@
 		T(a_late_copy_within_a_leadership_changes_nothing),
 		T(a_reply_that_overtakes_an_answer_proves_no_absence),
 		T(a_keeper_keeps_the_newest_report),
+		T(what_was_cancelled_is_not_kept_past_its_time),
+		T(a_new_leader_does_not_keep_it_either),
+		T(a_leader_hears_of_a_cancellation_from_the_record),
+		T(a_cancellation_keeps_its_age_across_a_takeover),
 		T(a_kept_report_survives_its_short_form),
 		T(a_node_alone_sends_its_workers_away_once),
 		T(a_node_cut_off_with_its_workers_keeps_them),
--- a/tests/test_reconcile.c
+++ b/tests/test_reconcile.c
@@ -779,7 +779,7 @@
 		char ref[FL_REF_MAX];
 
 		ref_of(1000 + i, ref);
-		fl_final_add(b, ref, FL_DONE, 1);
+		fl_final_add(b, ref, FL_DONE, 1, 0);
 	}
 	assert_int_equal(HASH_COUNT(b->finals), 10);
 	assert_null(fl_final_find(b, "run-001014"));
