What is cancelled is looked at after every wait, and by leaders still loading

Cause, from a trace of every answer to the machine concerned: a report came to a node just started, waited for its list of jobs, and was kept by what had been known before the wait; and a node that was loading its books while another led passed over a cancellation for good. Ruled out: stops not carried out (none was sent), clocks, proofs (their ages were within bounds). Change: the check comes after the wait; a leader's books take a cancellation from the watch at any time; a leader answers only with fresh knowledge of the jobs.

--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -158,6 +158,19 @@
 			fl_job_drop(b, job);
 }
 
+bool fl_books_cancelled(struct fl_books *b, struct fl_job *job, const struct fl_job_record *rec,
+                        uint64_t rev)
+{
+	job->rev = rev;
+	job->unsure = false;
+	if (!rec->final || job->aborted)
+		return false;
+	job->aborted = true;
+	job->aborted_at = fl_since(rec->cancelled);
+	fl_final_add(b, job->ref, FL_ABORTED, job->parts, job->aborted_at);
+	return true;
+}
+
 struct fl_job *fl_books_apply(struct fl_books *b, const char *ref, const cJSON *value, uint64_t rev)
 {
 	struct fl_job *job = fl_job_find(b, ref);
@@ -190,9 +203,15 @@
 			job->listed = true;
 		return job;
 	}
-	/* A leader meets its own final writes again here; it finalises when the tasks are gone. */
-	if (job && b->leading)
+	/*
+	 * A leader finalises when the tasks are gone. It must not take this for its own old news:
+	 * while it was still loading its books, another may have led and cancelled, and what was
+	 * passed over then was kept as live by this node for ever.
+	 */
+	if (job && b->leading) {
+		fl_books_cancelled(b, job, &rec, rev);
 		return job;
+	}
 	if (job) {
 		job->aborted_at = fl_since(rec.cancelled);
 		fl_job_finalise(b, job, rec.status);
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -48,11 +48,16 @@
 int fl_job_record_decode(const cJSON *v, struct fl_job_record *out);
 /*
  * Takes a change of a job record into the books; returns the live job, if it is one. A deletion
- * (no value) means that the job is over: only a leader keeps it, to finish what it is doing.
+ * (no value) means that the job is over: only a leader keeps it, to finish what it is doing. One
+ * that is cancelled it keeps as `aborted`, until its tasks are gone.
  */
 struct fl_job *fl_books_apply(struct fl_books *b, const char *ref, const cJSON *value,
                               uint64_t rev);
 
+/* The record of a leader's live job is `rev`: is it cancelled, and was not known to be? */
+bool fl_books_cancelled(struct fl_books *b, struct fl_job *job, const struct fl_job_record *rec,
+                        uint64_t rev);
+
 /* Around a whole list of job records: live jobs that it no longer holds are dropped. */
 void fl_books_list_begin(struct fl_books *b);
 void fl_books_list_end(struct fl_books *b, uint64_t rev);
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -195,22 +195,25 @@
 {
 	struct fl_orders orders;
 
-	if (holds_overdue(n, r)) {
-		fl_debug("keeper", "%s is refused: it holds what is cancelled", r->host);
-		fl_refuse(resp, 503, "a cancelled job's task is there");
-	} else if (may_keep(n, r->epoch)) {
-		fl_orders_init(&orders, n->epoch);
-		resp->status = 200;
-		resp->body = fl_orders_take(&orders);
-		keep(n, r);
-		if (n->lead.active)
-			fl_reconcile_kept(n, r);
-	} else {
+	if (!may_keep(n, r->epoch)) {
 		fl_debug("keeper", "%s is refused: epoch %llu, known %llu, proof %.1f s old",
 		         r->host, (unsigned long long)r->epoch, (unsigned long long)n->epoch,
 		         fl_now() - n->proof_at);
 		fl_refuse(resp, 503, "no proof of the epoch");
+		return;
 	}
+	/* Only now: a node just started has waited for the jobs, and knew of no cancellation. */
+	if (holds_overdue(n, r)) {
+		fl_debug("keeper", "%s is refused: it holds what is cancelled", r->host);
+		fl_refuse(resp, 503, "a cancelled job's task is there");
+		return;
+	}
+	fl_orders_init(&orders, n->epoch);
+	resp->status = 200;
+	resp->body = fl_orders_take(&orders);
+	keep(n, r);
+	if (n->lead.active)
+		fl_reconcile_kept(n, r);
 }
 
 static void relay_or_keep(struct fl_node *n, const struct fl_report *r, const char *body,
@@ -339,7 +342,7 @@
 	fl_orders_init(&orders, n->lease.epoch);
 	rc = fl_reconcile_report(n, r, &orders, FL_WAY_REPORT);
 	/* What is only answered, not taken in, gets no stop either: see holds_overdue. */
-	if (rc == 0 && (orders.n > 0 || !holds_overdue(n, r))) {
+	if (rc == 0 && knows_jobs(n) && (orders.n > 0 || !holds_overdue(n, r))) {
 		resp->status = 200;
 		resp->body = fl_orders_take(&orders);
 	} else {
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "coordination/answer.h"
-#include "coordination/record.h"
+#include "coordination/command.h"
 #include "transport/clock.h"
 #include "transport/log.h"
 #include "transport/routine.h"
@@ -388,16 +388,20 @@
 {
 	struct fl_node *n = ctx;
 	const char *ref = ch->key + strlen(FL_PREFIX_JOBS);
-	struct fl_job_record rec;
 	struct fl_job *job;
+	bool known;
 
 	if (strlen(ref) >= FL_REF_MAX)
 		return;
+	job = fl_job_find(&n->books, ref);
+	known = job && job->aborted;
 	job = fl_books_apply(&n->books, ref, ch->value, ch->rev);
 	if (!job || !n->lead.active)
 		return;
-	if (ch->rev > job->rev && fl_job_record_decode(ch->value, &rec) == 0 && rec.final)
-		fl_record_heard(n, job, &rec, ch->rev);
+	if (job->aborted && !known) {
+		fl_info("jobs", "%s is cancelled, says its record", ref);
+		fl_command_stop_job(n, job, job->aborted_at);
+	}
 	n->lead.due = true;
 	fl_signal_wake(&n->lead.work);
 }
--- a/src/coordination/record.c
+++ b/src/coordination/record.c
@@ -47,14 +47,9 @@
 void fl_record_heard(struct fl_node *n, struct fl_job *job, const struct fl_job_record *rec,
                      uint64_t rev)
 {
-	double at = fl_since(rec->cancelled);
-
-	job->rev = rev;
-	job->unsure = false;
-	if (!rec->final || job->aborted)
+	if (!fl_books_cancelled(&n->books, job, rec, rev))
 		return;
-	fl_final_add(&n->books, job->ref, FL_ABORTED, job->parts, at);
-	fl_command_stop_job(n, job, at);
+	fl_command_stop_job(n, job, job->aborted_at);
 	fl_info("jobs", "%s is cancelled, says its record", job->ref);
 }
 
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -1,6 +1,7 @@
 #include "coordination/takeover.h"
 
 #include <errno.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -112,6 +113,7 @@
 	struct fl_job *job, *tmp;
 	uint64_t rev;
 	int rc, jobs = 0;
+	double sent = fl_now();
 
 	fl_books_forget_tasks(&n->books);
 	n->books.leading = true;
@@ -120,6 +122,7 @@
 	if (!rc) {
 		fl_books_list_end(&n->books, rev);
 		n->books.list_rev = rev;
+		n->jobs_at = fmax(n->jobs_at, sent);
 		rc = fl_state_list(&n->state, FL_PREFIX_LOG, load_log, &l, &rev);
 	}
 	if (!rc)
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -41,7 +41,7 @@
 	n->lease.held = true;
 	n->lease.valid_until = fl_now() + 1e6;
 	n->lease.epoch = n->lead.first_epoch = n->epoch = epoch;
-	n->proof_at = fl_now();
+	n->proof_at = n->jobs_at = fl_now();
 	strcpy(n->leader, "n0");
 }
 
@@ -478,6 +478,47 @@
 	assert_int_equal(send_report(f, report(1, 24, EPOCH, NULL, 0), NULL), 503);
 }
 
+struct waiting_report {
+	struct fixture *f;
+	struct fl_report r;
+	int status;
+};
+
+static void send_and_wait(void *arg)
+{
+	struct waiting_report *w = arg;
+
+	w->status = send_report(w->f, w->r, NULL);
+}
+
+/*
+ * Found with slow controllers that had all ended: the report came before the list of jobs, waited
+ * for it, and was kept by what had been known before the wait.
+ */
+static void what_came_up_during_a_wait_counts(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_part p = running(0, 1);
+	struct waiting_report w = {.f = f, .r = report(1, 20, EPOCH, &p, 1)};
+	struct ev_loop *loop = ev_loop_new(0);
+
+	fl_routines_init(loop);
+	follow(f, 0);
+	f->node.jobs_at = -1e9;
+	f->node.jobs_known = false;
+	assert_non_null(fl_spawn(send_and_wait, &w));
+	ev_run(loop, EVRUN_NOWAIT);
+	assert_int_equal(w.status, 0);
+	hear_of_cancel(f, f->config.cancel_s - f->config.lease_s + 1);
+	f->node.jobs_at = fl_now();
+	f->node.jobs_known = true;
+	fl_signal_wake(&f->node.jobs_listed);
+	ev_run(loop, EVRUN_NOWAIT);
+	assert_int_equal(w.status, 503);
+	fl_routines_shutdown();
+	ev_loop_destroy(loop);
+}
+
 /* Nor by a leader that answers a report without taking it in, as each new one does at first. */
 static void a_new_leader_does_not_keep_it_either(void **state)
 {
@@ -501,6 +542,7 @@
 static void a_leader_hears_of_a_cancellation_from_the_record(void **state)
 {
 	struct fixture *f = *state;
+	struct fl_final *final;
 	struct fl_job_record rec;
 	struct fl_run run;
 	cJSON *v;
@@ -508,11 +550,17 @@
 	f->job->unsure = true;
 	fl_job_describe(&f->node.books, f->job, &run);
 	v = fl_job_record_cancelled(&run, 1, fl_wall() - 3);
-	assert_ptr_equal(fl_books_apply(&f->node.books, f->job->ref, v, 9), f->job);
 	assert_int_equal(fl_job_record_decode(v, &rec), 0);
-	cJSON_Delete(v);
 	fl_record_heard(&f->node, f->job, &rec, 9);
 	assert_true(f->job->aborted && !f->job->unsure && f->job->rev == 9);
+	/* Or while it still loads its books, and its lease may be another's already. */
+	f->job->aborted = f->node.lead.active = false;
+	final = f->node.books.finals;
+	HASH_DEL(f->node.books.finals, final);
+	free(final);
+	assert_ptr_equal(fl_books_apply(&f->node.books, f->job->ref, v, 10), f->job);
+	cJSON_Delete(v);
+	assert_true(f->job->aborted && f->job->rev == 10);
 	assert_true(fabs(f->job->aborted_at - (fl_now() - 3)) < 1);
 	assert_non_null(fl_final_find(&f->node.books, f->job->ref));
 }
@@ -855,6 +903,7 @@
 		T(a_reply_that_overtakes_an_answer_proves_no_absence),
 		T(a_keeper_keeps_the_newest_report),
 		T(what_was_cancelled_is_not_kept_past_its_time),
+		T(what_came_up_during_a_wait_counts),
 		T(a_new_leader_does_not_keep_it_either),
 		T(a_leader_hears_of_a_cancellation_from_the_record),
 		T(a_cancellation_keeps_its_age_across_a_takeover),
