The lease is renewed before everything else, and while the books are being loaded

Cause: with controllers eight times slower leadership changed every few seconds (log: 'the lease has ended' seconds after a takeover). The answer to a renewal waited for all routines that were ready, and a takeover, done by the renewing routine itself, took up to 3.4 s of a lease of 3 s. Ruled out: the state service (its answers took milliseconds), passes alone (20 ms). Change: urgent routines go first, a turn of the others ends after 5 ms to look for new events, what has come counts before what has timed out, and the books are loaded by a routine beside the renewals.

--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -72,13 +72,15 @@
 	n->lead.running++;
 }
 
-void fl_leader_begin(struct fl_node *n)
+static void begin(void *arg)
 {
+	struct fl_node *n = arg;
 	double rate = n->config->state_write_rps * choice.write_share;
+	uint64_t grant = n->lease.grant;
+	int rc = fl_takeover_load(n);
 
-	fl_record_free_trash(n);
-	memset(&n->lead, 0, sizeof(n->lead));
-	if (fl_takeover_load(n) != 0 || !fl_lease_valid(n)) {
+	n->lead.loading = false;
+	if (rc != 0 || !fl_lease_valid(n) || n->lease.grant != grant) {
 		fl_books_forget_tasks(&n->books);
 		n->books.leading = false;
 		return;
@@ -96,6 +98,15 @@
 	duty(n, fl_provision_duty);
 }
 
+void fl_leader_begin(struct fl_node *n)
+{
+	fl_record_free_trash(n);
+	memset(&n->lead, 0, sizeof(n->lead));
+	n->lead.loading = fl_spawn(begin, n) != NULL;
+	if (!n->lead.loading)
+		fl_error("leader", "no room for a routine");
+}
+
 void fl_leader_end(struct fl_node *n)
 {
 	n->lead.active = false;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -10,6 +10,7 @@
 enum { FL_DUTIES_MAX = 8 };
 
 struct fl_leadership {
+	bool loading;         /* the books are being loaded, by a routine of its own */
 	bool active;          /* duties run, books are loaded */
 	uint64_t first_epoch; /* the epoch of the takeover; raised ones lie above it */
 	double since;         /* steady; since when machines could be heard without a break */
@@ -32,6 +33,10 @@
 
 /* Its books are loaded and its lease holds. */
 bool fl_leading(const struct fl_node *n);
+/*
+ * Loads the books and begins the duties, in a routine of its own: the lease must be renewed
+ * meanwhile. It gives up when the lease is lost, and may be called again when `loading` is over.
+ */
 void fl_leader_begin(struct fl_node *n);
 void fl_leader_end(struct fl_node *n);
 
--- a/src/coordination/lease.c
+++ b/src/coordination/lease.c
@@ -215,15 +215,18 @@
 	struct fl_node *n = arg;
 	int place = 0;
 
+	fl_urgent();
 	for (int i = 0; i < n->n_peers; i++)
 		place += strcmp(n->peers[i].name, n->config->node) < 0;
 	while (!fl_cancelled()) {
 		double pause;
 
 		if (n->lease.held) {
-			if (!n->lead.active)
+			if (!n->lead.active && !n->lead.loading)
 				fl_leader_begin(n);
 			pause = renew(n);
+		} else if (n->lead.loading) {
+			pause = choice.retry_s; /* it sees that the lease is lost, and ends */
 		} else {
 			if (n->lead.active)
 				fl_leader_end(n);
@@ -259,6 +262,7 @@
 	struct fl_node *n = arg;
 	uint64_t rev = 0;
 
+	fl_urgent();
 	while (!fl_cancelled()) {
 		double sent = fl_now();
 		int rc;
--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <sys/mman.h>
 
+#include "transport/clock.h"
+
 #if defined(__SANITIZE_ADDRESS__)
 #include <sanitizer/common_interface_defs.h>
 #define FIBER_START(save, bottom, size) __sanitizer_start_switch_fiber(save, bottom, size)
@@ -25,10 +27,11 @@
 extern fcontext_t make_fcontext(void *sp, size_t size, void (*fn)(struct transfer));
 
 static const struct {
-	size_t stack; /* bytes; deep JSON plus room for a signal handler's frame */
-	size_t guard; /* bytes; an overrun faults instead of corrupting */
-	int spare;    /* stacks kept for reuse; each has a few touched pages */
-} choice = {256 * 1024, 4096, 32};
+	size_t stack;  /* bytes; deep JSON plus room for a signal handler's frame */
+	size_t guard;  /* bytes; an overrun faults instead of corrupting */
+	int spare;     /* stacks kept for reuse; each has a few touched pages */
+	double turn_s; /* s for which ordinary routines run before new events are looked for */
+} choice = {256 * 1024, 4096, 32, 0.005};
 
 struct fl_routine {
 	fcontext_t ctx;
@@ -43,14 +46,19 @@
 	struct ev_timer timer;
 	void *fake_stack;
 	int result;
-	bool parked, ready, cancelled, finished;
+	bool parked, ready, cancelled, finished, urgent;
+};
+
+struct queue {
+	struct fl_routine *head, *tail;
 };
 
 static struct {
 	struct ev_loop *loop;
 	struct ev_prepare prepare;
+	struct ev_idle more; /* active: some are still ready, so the loop must not sleep */
 	struct fl_routine *all, *current;
-	struct fl_routine *ready_head, *ready_tail;
+	struct queue ready, urgent;
 	char *spare[64];
 	int spares;
 	fcontext_t main_ctx;
@@ -88,16 +96,31 @@
 
 static void make_ready(struct fl_routine *r, int result)
 {
+	struct queue *q = r->urgent ? &rt.urgent : &rt.ready;
+
 	if (r->ready)
 		return;
 	r->ready = true;
 	r->result = result;
 	r->next_ready = NULL;
-	if (rt.ready_tail)
-		rt.ready_tail->next_ready = r;
+	if (q->tail)
+		q->tail->next_ready = r;
 	else
-		rt.ready_head = r;
-	rt.ready_tail = r;
+		q->head = r;
+	q->tail = r;
+}
+
+static struct fl_routine *take_ready(struct queue *q)
+{
+	struct fl_routine *r = q->head;
+
+	if (!r)
+		return NULL;
+	q->head = r->next_ready;
+	if (!q->head)
+		q->tail = NULL;
+	r->ready = false;
+	return r;
 }
 
 static void sig_unlink(struct fl_routine *r)
@@ -186,17 +209,30 @@
 	return r->cancelled ? -ECANCELED : r->result;
 }
 
+/*
+ * Found with controllers several times slower: one turn over all that was ready took seconds, and
+ * the lease, whose answer had long come, ended. So the urgent go first, and a turn of the others
+ * ends after a while, to look for what has come meanwhile.
+ */
 static void drain(void)
 {
-	while (rt.ready_head) {
-		struct fl_routine *r = rt.ready_head;
+	double until = fl_now() + choice.turn_s;
+	struct fl_routine *r;
 
-		rt.ready_head = r->next_ready;
-		if (!rt.ready_head)
-			rt.ready_tail = NULL;
-		r->ready = false;
+	while ((r = take_ready(&rt.urgent)) || (r = take_ready(&rt.ready))) {
 		resume(r);
+		if (!rt.urgent.head && rt.ready.head && fl_now() > until)
+			break;
 	}
+	if (rt.ready.head)
+		ev_idle_start(rt.loop, &rt.more);
+	else
+		ev_idle_stop(rt.loop, &rt.more);
+}
+
+static void on_idle(struct ev_loop *loop, struct ev_idle *w, int revents)
+{
+	(void)loop, (void)w, (void)revents;
 }
 
 static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int revents)
@@ -209,6 +245,7 @@
 {
 	memset(&rt, 0, sizeof(rt));
 	rt.loop = loop;
+	ev_idle_init(&rt.more, on_idle);
 	ev_prepare_init(&rt.prepare, on_prepare);
 	ev_prepare_start(loop, &rt.prepare);
 }
@@ -227,6 +264,7 @@
 			ev_run(rt.loop, EVRUN_NOWAIT);
 	}
 	ev_prepare_stop(rt.loop, &rt.prepare);
+	ev_idle_stop(rt.loop, &rt.more);
 	while (rt.spares > 0)
 		munmap(rt.spare[--rt.spares], choice.stack + choice.guard);
 }
@@ -246,6 +284,8 @@
 	r->arg = arg;
 	r->ctx = make_fcontext(r->stack + choice.guard + choice.stack, choice.stack, entry);
 	ev_init(&r->io, on_io);
+	/* After a standstill both are due: what has come was not missed. */
+	ev_set_priority(&r->io, EV_MAXPRI);
 	ev_init(&r->timer, on_timer);
 	r->io.data = r->timer.data = r;
 	r->next = rt.all;
@@ -263,6 +303,10 @@
 		wake(r, -ECANCELED);
 }
 
+void fl_urgent(void) { rt.current->urgent = true; }
+
+bool fl_routines_behind(void) { return ev_is_active(&rt.more); }
+
 bool fl_cancelled(void) { return rt.current && rt.current->cancelled; }
 
 static void arm_timer(struct fl_routine *r, double seconds)
--- a/src/transport/routine.h
+++ b/src/transport/routine.h
@@ -27,6 +27,10 @@
 /* Must not be called once the routine's function has returned. */
 void fl_cancel(struct fl_routine *r);
 bool fl_cancelled(void);
+/* From now on this routine goes before all that are not urgent: for what must not come late. */
+void fl_urgent(void);
+/* More is ready than one turn could run: what comes in now waits. */
+bool fl_routines_behind(void);
 
 /* Waits: 0, -ETIMEDOUT or -ECANCELED. A negative time-out waits without end. */
 int fl_sleep(double seconds);
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -14,6 +14,7 @@
 
 #include "bookkeeping/ledger.h"
 #include "config.h"
+#include "transport/clock.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/routine.h"
@@ -73,6 +74,59 @@
 	fl_routines_shutdown();
 }
 
+/* ---- turns ---- */
+
+struct turns {
+	int pipe[2], n;
+	char order[8];
+};
+
+static void burner(void *arg)
+{
+	struct turns *t = arg;
+	double until = fl_now() + 0.02; /* longer than a turn, however fast the machine */
+
+	if (t->n == 0)
+		assert_int_equal(write(t->pipe[1], "x", 1), 1);
+	t->order[t->n++] = 'b';
+	while (fl_now() < until)
+		;
+	if (t->n == 4)
+		ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+static void urgent(void *arg)
+{
+	struct turns *t = arg;
+
+	fl_urgent();
+	for (int i = 0; i < 3; i++)
+		fl_spawn(burner, t);
+	assert_int_equal(fl_wait_io(t->pipe[0], EV_READ, 10), 0);
+	t->order[t->n++] = 'u';
+	/* After a standstill the answer and the end of its time come at once: it was not missed. */
+	assert_int_equal(fl_wait_io(t->pipe[0], EV_READ, 0), 0);
+}
+
+/*
+ * Found with controllers eight times slower: whatever was ready ran to its end before the answer
+ * to a renewal was looked at, and the lease, which had been renewed in time, was lost.
+ */
+static void what_is_urgent_does_not_wait_for_the_rest(void **state)
+{
+	struct turns t = {0};
+
+	(void)state;
+	assert_int_equal(pipe(t.pipe), 0);
+	fl_routines_init(ev_default_loop(0));
+	fl_spawn(urgent, &t);
+	fl_routines_run();
+	assert_string_equal(t.order, "bubb");
+	fl_routines_shutdown();
+	close(t.pipe[0]);
+	close(t.pipe[1]);
+}
+
 static void echo(void *ctx, const struct fl_request *req, struct fl_response *resp)
 {
 	(void)ctx;
@@ -238,6 +292,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_cancelled_routine_unwinds_by_itself),
+		cmocka_unit_test(what_is_urgent_does_not_wait_for_the_rest),
 		cmocka_unit_test(calls_are_answered_kept_alive_and_bounded),
 		cmocka_unit_test(addresses_are_checked),
 		cmocka_unit_test(bad_settings_are_named),
