A controller that is behind skips callers who have gone, and passes less often

Change: a server that is behind looks whether its caller is still there; passes take a tenth of the time at most.

--- a/src/coordination/pass.c
+++ b/src/coordination/pass.c
@@ -15,11 +15,12 @@
 static const struct {
 	double gap_s;         /* s between two passes at least: many reports, one pass */
 	double most_s;        /* s between two passes at most */
+	double share;         /* of the time for passes at most, however slow this controller is */
 	double budget_s;      /* s of a pass before it stops and goes on next time */
 	int waiting_most;     /* tasks of one job looked at in one pass */
 	double fresh_reports; /* report intervals after which a silent machine gets no new task */
 	double forget_s;      /* s; finished entries wait this long for a higher epoch */
-} choice = {0.1, 1.0, 0.03, 256, 3, 40.0};
+} choice = {0.1, 1.0, 0.1, 0.03, 256, 3, 40.0};
 
 struct snapshot {
 	struct fl_sched_in in;
@@ -332,17 +333,23 @@
 	}
 }
 
+/* A slow controller passes seldom rather than leave workers and users unanswered. */
+static double gap_after(double took)
+{
+	return fmin(choice.most_s, fmax(choice.gap_s, took / choice.share));
+}
+
 void fl_pass_duty(void *arg)
 {
 	struct fl_node *n = arg;
-	double last = 0;
+	double last = 0, gap = choice.gap_s;
 
 	while (!fl_cancelled()) {
 		double wait = n->lead.due ? choice.gap_s : choice.most_s;
 
 		if (fl_signal_wait(&n->lead.work, wait) == -ECANCELED)
 			break;
-		if (fl_now() < last + choice.gap_s && fl_sleep(last + choice.gap_s - fl_now()) != 0)
+		if (fl_now() < last + gap && fl_sleep(last + gap - fl_now()) != 0)
 			break;
 		if (!fl_leading(n))
 			continue;
@@ -350,6 +357,7 @@
 		drain_reclaimed(n);
 		stop_broken_ensembles(n);
 		pass(n);
+		gap = gap_after(fl_now() - last);
 		if (n->books.dirty)
 			fl_signal_wake(&n->lead.dirty);
 		if (n->lead.unforgotten > 0 && last > n->lease.raised_at + choice.forget_s)
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -49,6 +49,17 @@
 	return rc;
 }
 
+/*
+ * A server that is behind must not spend its time on callers who have gone: they have asked
+ * elsewhere, and each answer to nobody keeps the next caller waiting until he is gone too.
+ */
+static bool caller_has_gone(int fd)
+{
+	char c;
+
+	return fl_routines_behind() && recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static bool serve_one(struct conn *c)
 {
 	struct fl_request req = {0};
@@ -78,7 +89,7 @@
 		}
 		goto out;
 	}
-	if (rc)
+	if (rc || caller_has_gone(c->fd))
 		goto out;
 	query = strchr(msg.url.data ? msg.url.data : "", '?');
 	if (query)
