Sockets by need: peers get what peers use, and a server nearly full turns nobody away

Cause: at half as many machines again one controller held 2,862 connections, at the limit that its public side has (four fifths of all): kept connections of workers left none for users and probes. A stalled leader took one more socket of its peer for each report under way. Silent connections stayed 90 s. Ruled out: memory (27 MB of 188 at that point). Change: what is set aside follows from the number of peers; 64 reports are relayed at once at most, the rest is kept at once; close to the limit each connection gets one answer; silent ones end after four report intervals. The system's limit of open files is raised to what the settings ask for.

--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -216,12 +216,26 @@
 		fl_reconcile_kept(n, r);
 }
 
+/* Beyond so many under way the leader is stalled: waiting for it helps nobody. */
+static int relay_report(struct fl_node *n, const char *body, enum fl_hop hop, const char *via,
+                        struct fl_reply *reply)
+{
+	int rc;
+
+	if (n->keeper.relays >= FL_RELAYS_MAX)
+		return -EBUSY;
+	n->keeper.relays++;
+	rc = fl_relay(n, FL_CALL_REPORT, NULL, via, body, hop, choice.patience_s, reply);
+	n->keeper.relays--;
+	return rc;
+}
+
 static void relay_or_keep(struct fl_node *n, const struct fl_report *r, const char *body,
                           enum fl_hop hop, const char *via, struct fl_response *resp)
 {
 	struct fl_reply reply;
 
-	if (fl_relay(n, FL_CALL_REPORT, NULL, via, body, hop, choice.patience_s, &reply) == 0) {
+	if (relay_report(n, body, hop, via, &reply) == 0) {
 		if (reply.status == 200) {
 			resp->status = 200;
 			resp->body = reply.body.data;
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -32,7 +32,7 @@
 	bool stored; /* went into a digest already */
 };
 
-enum { FL_DIGESTS_MAX = 64 };
+enum { FL_DIGESTS_MAX = 64, FL_RELAYS_MAX = 64 };
 
 /* A record of ours in the state service. */
 struct fl_digest_slot {
@@ -50,7 +50,8 @@
 struct fl_keeper {
 	struct fl_kept *kept;
 	struct fl_guest *guests;
-	int away; /* whose turn it is to get a worker that is sent away */
+	int relays; /* reports being relayed: a leader that stalls must not take all sockets */
+	int away;   /* whose turn it is to get a worker that is sent away */
 	struct fl_digest_slot digest[FL_DIGESTS_MAX];
 	struct fl_budget writes;
 	double refreshed_at;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -1,6 +1,7 @@
 #include "coordination/node.h"
 
 #include <errno.h>
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -21,8 +22,12 @@
 	double down_s;        /* s after a refusal in which the state service counts as down */
 	int peer_conns;       /* connections kept open to each peer */
 	double finals_share;  /* share of the memory for final states kept at hand */
-	double user_share;    /* share of all connections that users and workers may hold */
-} choice = {0.5, 1.0, 1.2, 2.0, 1, 0.3, 6, 0.1, 0.8};
+	int peer_users;       /* users' calls and gossip under way to one peer */
+	int own_conns;        /* connections to state service, cloud and machines at once */
+	double user_least;    /* share of all connections that users and workers have in any case */
+	double idle_reports;  /* report intervals after which a silent connection is closed */
+	double idle_least_s;  /* s for which it is kept in any case: users ask every 5 s */
+} choice = {0.5, 1.0, 1.2, 2.0, 1, 0.3, 6, 0.1, 24, 48, 0.6, 4.0, 20.0};
 
 void fl_refuse(struct fl_response *resp, int status, const char *fmt, ...)
 {
@@ -493,13 +498,33 @@
 	return fl_http_client_init(&n->cloud.http, c->cloud, 2);
 }
 
+/*
+ * Found with 2,000 workers on one controller: the fifth of all sockets that was set aside for the
+ * peers was missing for users. What peers need does not grow with the machines.
+ */
+int fl_node_public_conns(const struct fl_config *c)
+{
+	int peer = FL_RELAYS_MAX + choice.peer_users;
+	int rest = c->max_connections - (c->n_peers + 1) * peer - choice.own_conns;
+	int least = (int)(c->max_connections * choice.user_least);
+
+	return rest > least ? rest : least;
+}
+
 int fl_node_start(const struct fl_config *config)
 {
 	struct fl_node *n = calloc(1, sizeof(*n));
-	int conns = (int)(config->max_connections * choice.user_share);
-
-	if (!n || set_up(n, config) != 0 || !fl_http_serve(config->bind, conns, on_public, n) ||
-	    !fl_http_serve(config->cluster_listen, config->max_connections - conns, on_peer, n)) {
+	int conns = fl_node_public_conns(config);
+	double idle_s = fmax(choice.idle_least_s, choice.idle_reports * config->report_s);
+	int allowed = fl_sockets_allow(config->max_connections + choice.own_conns);
+
+	if (allowed < config->max_connections)
+		fl_error("node", "max_connections is %d, but the system allows %d open files",
+		         config->max_connections, allowed);
+	if (!n || set_up(n, config) != 0 ||
+	    !fl_http_serve(config->bind, conns, idle_s, on_public, n) ||
+	    !fl_http_serve(config->cluster_listen, config->max_connections - conns, idle_s, on_peer,
+	                   n)) {
 		free(n);
 		return -1;
 	}
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -50,6 +50,8 @@
 };
 
 int fl_node_start(const struct fl_config *config);
+/* How many of all connections users and workers may hold. */
+int fl_node_public_conns(const struct fl_config *c);
 /* Answers a user's call here, passing on what only the leader can say. */
 void fl_node_user_call(struct fl_node *n, enum fl_user_call call, const char *ref, const char *body,
                        size_t len, enum fl_hop hop, struct fl_response *resp);
--- a/src/transport/http.c
+++ b/src/transport/http.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -207,3 +208,17 @@
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	return fd;
 }
+
+int fl_sockets_allow(int n)
+{
+	struct rlimit r;
+
+	if (getrlimit(RLIMIT_NOFILE, &r) != 0)
+		return n; /* not known: a failing accept says it */
+	if (r.rlim_cur < (rlim_t)n) {
+		r.rlim_cur = r.rlim_max < (rlim_t)n ? r.rlim_max : (rlim_t)n;
+		if (setrlimit(RLIMIT_NOFILE, &r) != 0 && getrlimit(RLIMIT_NOFILE, &r) != 0)
+			return n;
+	}
+	return r.rlim_cur > INT_MAX ? INT_MAX : (int)r.rlim_cur;
+}
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -34,5 +34,7 @@
 /* "1.2.3.4:80" only: there are no names on these networks. */
 int fl_parse_addr(const char *text, struct sockaddr_in *out);
 int fl_socket(void);
+/* Raises what the system allows to `n` open files, as far as may be; how many it allows then. */
+int fl_sockets_allow(int n);
 
 #endif
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -11,15 +11,16 @@
 #include "transport/routine.h"
 
 static const struct {
-	double idle_s;   /* s; a silent peer behind a cut must not hold a socket for ever */
 	double write_s;  /* s; users wait 2 to 5 s, so a longer write helps nobody */
 	size_t max_body; /* bytes; the protocol's limit */
 	double pause_s;  /* s; wait after a failed accept, so that it does not spin */
-} choice = {90.0, 5.0, 64 * 1024, 0.05};
+	int nearly;      /* part (one in so many) of the connections that is for one answer each */
+} choice = {5.0, 64 * 1024, 0.05, 32};
 
 struct fl_http_server {
 	int fd;
 	int conns, max_conns;
+	double idle_s; /* a silent peer behind a cut must not hold a socket for ever */
 	fl_handler handler;
 	void *ctx;
 };
@@ -49,6 +50,15 @@
 	return rc;
 }
 
+/*
+ * Kept connections of thousands of workers must not shut out the balancer's probes and the users:
+ * with the last of them gone, a node that could serve would count as dead.
+ */
+static bool nearly_full(const struct fl_http_server *s)
+{
+	return s->conns > s->max_conns - s->max_conns / choice.nearly;
+}
+
 /*
  * A server that is behind must not spend its time on callers who have gone: they have asked
  * elsewhere, and each answer to nobody keeps the next caller waiting until he is gone too.
@@ -70,7 +80,7 @@
 	int rc;
 
 	fl_msg_init(&msg, HTTP_REQUEST, choice.max_body);
-	rc = fl_msg_read(&msg, c->fd, choice.idle_s);
+	rc = fl_msg_read(&msg, c->fd, c->server->idle_s);
 	if (rc == -EMSGSIZE || rc == -EPROTO) {
 		resp.status = rc == -EMSGSIZE ? 413 : 400;
 		resp.body = strdup(rc == -EMSGSIZE ? "{\"error\":\"body over 64 KiB\"}"
@@ -100,7 +110,7 @@
 	req.body = msg.body.data ? msg.body.data : "";
 	req.body_len = msg.body.len;
 	c->server->handler(c->server->ctx, &req, &resp);
-	keep = msg.keep_alive && !resp.close;
+	keep = msg.keep_alive && !resp.close && !nearly_full(c->server);
 	if (send_response(c->fd, &resp, keep) != 0)
 		keep = false;
 out:
@@ -154,7 +164,8 @@
 	s->fd = -1;
 }
 
-struct fl_http_server *fl_http_serve(const char *addr, int max_conns, fl_handler handler, void *ctx)
+struct fl_http_server *fl_http_serve(const char *addr, int max_conns, double idle_s,
+                                     fl_handler handler, void *ctx)
 {
 	struct fl_http_server *s;
 	struct sockaddr_in sa;
@@ -170,6 +181,7 @@
 	s->handler = handler;
 	s->ctx = ctx;
 	s->max_conns = max_conns;
+	s->idle_s = idle_s;
 	s->fd = fl_socket();
 	if (s->fd < 0)
 		goto fail;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -25,9 +25,12 @@
 
 struct fl_http_server;
 
-/* Binds and serves; NULL with errno set when it cannot. */
-struct fl_http_server *fl_http_serve(const char *addr, int max_conns, fl_handler handler,
-                                     void *ctx);
+/*
+ * Binds and serves; NULL with errno set when it cannot. Nearly full, it answers each connection
+ * once and closes it, so that everybody gets a turn; full, it closes new ones at once.
+ */
+struct fl_http_server *fl_http_serve(const char *addr, int max_conns, double idle_s,
+                                     fl_handler handler, void *ctx);
 int fl_http_server_port(const struct fl_http_server *s);
 
 #endif
--- a/tests/standins.c
+++ b/tests/standins.c
@@ -655,7 +655,7 @@
 	m->node = n_machines;
 	m->deaf = standins.deaf > 0 && standins.deaf--;
 	machines[n_machines++] = m;
-	s = fl_http_serve("127.0.0.1:0", 64, on_command, m);
+	s = fl_http_serve("127.0.0.1:0", 64, 90, on_command, m);
 	assert(s);
 	servers[n_servers++] = s;
 	snprintf(m->addr, sizeof(m->addr), "127.0.0.1:%d", fl_http_server_port(s));
@@ -758,8 +758,8 @@
 
 void standins_start(void)
 {
-	struct fl_http_server *state = fl_http_serve("127.0.0.1:0", 256, on_state, NULL);
-	struct fl_http_server *cloud = fl_http_serve("127.0.0.1:0", 64, on_cloud, NULL);
+	struct fl_http_server *state = fl_http_serve("127.0.0.1:0", 256, 90, on_state, NULL);
+	struct fl_http_server *cloud = fl_http_serve("127.0.0.1:0", 64, 90, on_cloud, NULL);
 
 	assert(state && cloud);
 	servers[n_servers++] = state;
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -14,6 +14,7 @@
 
 #include "bookkeeping/ledger.h"
 #include "config.h"
+#include "coordination/node.h"
 #include "transport/clock.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -179,7 +180,7 @@
 	(void)state;
 	memset(&seen, 0, sizeof(seen));
 	fl_routines_init(ev_default_loop(0));
-	s = fl_http_serve("127.0.0.1:0", 16, echo, NULL);
+	s = fl_http_serve("127.0.0.1:0", 16, 90, echo, NULL);
 	assert_non_null(s);
 	snprintf(seen.addr, sizeof(seen.addr), "127.0.0.1:%d", fl_http_server_port(s));
 	fl_spawn(caller, NULL);
@@ -190,6 +191,51 @@
 	free(s);
 }
 
+enum { CROWD = 32 };
+
+static void crowd(void *arg)
+{
+	struct fl_http_client c[CROWD + 1];
+	struct fl_reply r;
+
+	(void)arg;
+	/* All stay but the last, which is answered and let go: so there is a place for one more. */
+	for (int i = 0; i <= CROWD; i++) {
+		assert_int_equal(fl_http_client_init(&c[i], seen.addr, 1), 0);
+		assert_int_equal(fl_http_call(&c[i], "POST", "/x", "{}", 5, &r), 0);
+		assert_int_equal(r.status, 200);
+		assert_int_equal(c[i].idles, i < CROWD - 1);
+		fl_buf_free(&r.body);
+	}
+	for (int i = 0; i <= CROWD; i++)
+		fl_http_client_close(&c[i]);
+	seen.finished = true;
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+/* Found with 2,000 workers on one controller: their kept connections left none for users. */
+static void a_server_nearly_full_has_a_turn_for_everybody(void **state)
+{
+	struct fl_config c = {.max_connections = 3565, .n_peers = 4};
+	struct fl_http_server *s;
+
+	(void)state;
+	memset(&seen, 0, sizeof(seen));
+	fl_routines_init(ev_default_loop(0));
+	s = fl_http_serve("127.0.0.1:0", CROWD, 90, echo, NULL);
+	assert_non_null(s);
+	snprintf(seen.addr, sizeof(seen.addr), "127.0.0.1:%d", fl_http_server_port(s));
+	fl_spawn(crowd, NULL);
+	fl_routines_run();
+	assert_true(seen.finished);
+	fl_routines_shutdown();
+	free(s);
+	/* What is set aside for peers grows with them, and not with the machines. */
+	assert_true(fl_node_public_conns(&c) >= 3000);
+	c.max_connections = 16;
+	assert_in_range(fl_node_public_conns(&c), 8, 15);
+}
+
 static void addresses_are_checked(void **state)
 {
 	struct sockaddr_in sa;
@@ -294,6 +340,7 @@
 		cmocka_unit_test(a_cancelled_routine_unwinds_by_itself),
 		cmocka_unit_test(what_is_urgent_does_not_wait_for_the_rest),
 		cmocka_unit_test(calls_are_answered_kept_alive_and_bounded),
+		cmocka_unit_test(a_server_nearly_full_has_a_turn_for_everybody),
 		cmocka_unit_test(addresses_are_checked),
 		cmocka_unit_test(bad_settings_are_named),
 		cmocka_unit_test(the_write_budget_holds_its_rate),
