A controller that starts while the cloud is out takes the machine types from a record

Cause: no node is ready before it knows the machine types, and only the cloud said them. Ruled out: the state service (it answered), the restarts (8 s). Change: the leader keeps the types in a record, renewed every 30 s; a starting node reads it first.

--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -8,6 +8,7 @@
 #define FL_KEY_LEAD "c/lead"
 #define FL_KEY_EPOCH "c/epoch"
 #define FL_PREFIX_CONTROL "c/"
+#define FL_KEY_KINDS "m/kinds"
 #define FL_PREFIX_JOBS "j/"
 #define FL_PREFIX_FINALS "f/"
 #define FL_PREFIX_PROGRESS "p/"
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -447,6 +447,22 @@
 	}
 }
 
+/*
+ * From the record that a leader keeps of them, else from the cloud. Found on a day of our own: all
+ * controllers ended while the cloud was out, and none of them could serve until it was back.
+ */
+static int read_kinds(struct fl_node *n, struct fl_host_kind **kinds, int *count)
+{
+	uint64_t rev;
+	cJSON *v = NULL;
+	int rc = fl_state_get(&n->state, FL_KEY_KINDS, &v, &rev, NULL);
+
+	if (!rc)
+		rc = fl_kinds_decode(v, kinds, count);
+	cJSON_Delete(v);
+	return rc ? fl_cloud_kinds(&n->cloud, kinds, count) : 0;
+}
+
 static void kinds_duty(void *arg)
 {
 	struct fl_node *n = arg;
@@ -455,7 +471,7 @@
 		struct fl_host_kind *kinds;
 		int count;
 
-		if (fl_cloud_kinds(&n->cloud, &kinds, &count) == 0) {
+		if (read_kinds(n, &kinds, &count) == 0) {
 			fl_kinds_set(&n->books.machines, &n->books.zones, kinds, count);
 			free(kinds);
 			n->kinds_known = true;
--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -540,6 +540,21 @@
 	return rc;
 }
 
+/* For controllers that start while the cloud is out: see read_kinds in node.c. */
+static void store_kinds(struct fl_node *n, const struct fl_host_kind *kinds, int count)
+{
+	struct fl_multi m;
+	uint64_t rev;
+
+	if (fl_budget_take(&n->lead.writes, 1, fl_now()) > 0)
+		return; /* launches need the writes: the next look will do */
+	fl_multi_init(&m);
+	fl_multi_when(&m, FL_KEY_LEAD, n->lease.lead_rev);
+	fl_multi_put(&m, FL_KEY_KINDS, fl_kinds_encode(kinds, count), 0);
+	if (fl_state_multi(&n->state, &m, &rev, NULL) != 0)
+		fl_debug("cloud", "machine types not stored");
+}
+
 static void refresh_kinds(struct fl_node *n)
 {
 	struct fl_host_kind *kinds;
@@ -548,6 +563,7 @@
 	if (spend_call(n) != 0 || fl_cloud_kinds(&n->cloud, &kinds, &count) != 0)
 		return;
 	fl_kinds_set(&n->books.machines, &n->books.zones, kinds, count);
+	store_kinds(n, kinds, count);
 	free(kinds);
 }
 
@@ -574,7 +590,7 @@
 	double now = fl_now();
 
 	memset(&n->provision, 0, sizeof(n->provision));
-	n->provision.kinds_at = now;
+	n->provision.kinds_at = -1e9; /* what was read from a record may be old */
 	fl_budget_init(&n->provision.calls, n->config->cloud_rps * 0.8,
 	               2 * n->config->cloud_rps * 0.8, now);
 }
--- a/src/protocol/cloud.c
+++ b/src/protocol/cloud.c
@@ -57,23 +57,18 @@
 	return 0;
 }
 
-int fl_cloud_kinds(struct fl_cloud *c, struct fl_host_kind **out, int *n)
+int fl_kinds_decode(const cJSON *o, struct fl_host_kind **out, int *n)
 {
-	cJSON *o = NULL, *e;
-	const cJSON *list;
-	int status, rc = call(c, "GET", "/machine_types", NULL, &o, &status);
+	const cJSON *list = fl_json_get(o, "HostKinds"), *e;
+	int rc = 0;
 
 	*out = NULL;
 	*n = 0;
-	if (rc)
-		goto out;
-	list = fl_json_get(o, "HostKinds");
-	rc = -EPROTO;
 	if (!cJSON_IsArray(list) || cJSON_GetArraySize(list) == 0)
-		goto out;
+		return -EPROTO;
 	*out = calloc((size_t)cJSON_GetArraySize(list), sizeof(**out));
 	if (!*out)
-		goto out;
+		return -ENOMEM;
 	cJSON_ArrayForEach (e, list) {
 		rc = decode_kind(e, &(*out)[*n]);
 		if (rc)
@@ -85,7 +80,43 @@
 		*out = NULL;
 		*n = 0;
 	}
-out:
+	return rc;
+}
+
+cJSON *fl_kinds_encode(const struct fl_host_kind *kinds, int n)
+{
+	cJSON *o = cJSON_CreateObject(), *list = cJSON_AddArrayToObject(o, "HostKinds");
+
+	for (int i = 0; i < n; i++) {
+		const struct fl_host_kind *k = &kinds[i];
+		cJSON *e = cJSON_CreateObject(), *sites;
+
+		cJSON_AddStringToObject(e, "Name", k->name);
+		cJSON_AddNumberToObject(e, "Vcpus", k->cpus);
+		cJSON_AddNumberToObject(e, "Accelerators", k->gpus);
+		cJSON_AddNumberToObject(e, "RamGb", k->ram_gb);
+		cJSON_AddNumberToObject(e, "LocalGb", k->cache_gb);
+		cJSON_AddNumberToObject(e, "PullGbPerS", k->pull_gb_s);
+		cJSON_AddNumberToObject(e, "Price", k->price);
+		cJSON_AddNumberToObject(e, "SpotPrice", k->spot_price);
+		cJSON_AddNumberToObject(e, "ReadyS", k->ready_s);
+		sites = cJSON_AddArrayToObject(e, "Sites");
+		for (int z = 0; z < k->n_sites; z++)
+			cJSON_AddItemToArray(sites, cJSON_CreateString(k->sites[z]));
+		cJSON_AddItemToArray(list, e);
+	}
+	return o;
+}
+
+int fl_cloud_kinds(struct fl_cloud *c, struct fl_host_kind **out, int *n)
+{
+	cJSON *o = NULL;
+	int status, rc = call(c, "GET", "/machine_types", NULL, &o, &status);
+
+	*out = NULL;
+	*n = 0;
+	if (!rc)
+		rc = fl_kinds_decode(o, out, n);
 	cJSON_Delete(o);
 	return rc;
 }
--- a/src/protocol/cloud.h
+++ b/src/protocol/cloud.h
@@ -27,6 +27,10 @@
 	struct fl_http_client http;
 };
 
+/* Machine types as the cloud says them, for a record too. 0, or an errno with nothing held. */
+int fl_kinds_decode(const cJSON *o, struct fl_host_kind **out, int *n);
+cJSON *fl_kinds_encode(const struct fl_host_kind *kinds, int n);
+
 /* All return 0 on success, -EAGAIN when refused for now (429, 503), other errnos when unknown. */
 int fl_cloud_kinds(struct fl_cloud *c, struct fl_host_kind **out, int *n);
 /* -ENOSPC: no capacity. On success `*hosts` holds `*n` names to free. */
--- a/tests/standins.c
+++ b/tests/standins.c
@@ -719,6 +719,11 @@
 	uint64_t count = 0;
 
 	(void)ctx;
+	if (standins.cloud_out) {
+		cJSON_AddStringToObject(o, "error", "trouble");
+		say(resp, 503, o);
+		return;
+	}
 	if (strcmp(req->path, "/machine_types") == 0) {
 		cJSON_Delete(o);
 		say(resp, 200, fl_json_parse(kinds, strlen(kinds)));
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -18,6 +18,7 @@
 	int state_refuses, state_loses, state_slow, commands_repeat;
 	int copies_late; /* every so many reports: a copy comes two leases later, to another node */
 	int deaf;        /* so many machines report and hear nothing */
+	bool cloud_out;  /* the cloud refuses everything */
 	/* Counts down with the state service's requests; at 0 `cut` is called, and that request is
 	 * carried out after it, late. */
 	int cut_after;
@@ -25,8 +26,8 @@
 	double report_s, lease_s, run_s;
 	/* What the workers saw. */
 	int launches, completed, twice, max_machines;
-	/* What must never happen: an epoch used again, a name of a rental given out by two leaders, a
-	 * launch on a machine that the cloud took back. */
+	/* What must never happen: an epoch used again, a name of a rental given out by two leaders,
+	 * a launch on a machine that the cloud took back. */
 	int epochs_reused, names_reused, launched_gone;
 };
 
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "protocol/cloud.h"
 #include "protocol/peers.h"
 #include "protocol/users.h"
 #include "protocol/workers.h"
@@ -159,6 +160,35 @@
 		assert_int_not_equal(fl_report_decode(bad[i], strlen(bad[i]), &r), 0);
 }
 
+static void machine_types_survive_their_record(void **state)
+{
+	struct fl_host_kind k = {.name = "g8",
+	                         .cpus = 96,
+	                         .gpus = 8,
+	                         .ram_gb = 768,
+	                         .cache_gb = 200,
+	                         .pull_gb_s = 0.5,
+	                         .price = 12,
+	                         .spot_price = 4.5,
+	                         .ready_s = 45,
+	                         .sites = {"a", "b"},
+	                         .n_sites = 2},
+			    *back;
+	cJSON *o = fl_kinds_encode(&k, 1), *none = fl_kinds_encode(&k, 0);
+	int n;
+
+	(void)state;
+	assert_int_equal(fl_kinds_decode(o, &back, &n), 0);
+	assert_int_equal(n, 1);
+	assert_memory_equal(back, &k, sizeof(k));
+	free(back);
+	/* Without any, nothing could be decided: it is no record of them. */
+	assert_int_not_equal(fl_kinds_decode(none, &back, &n), 0);
+	assert_null(back);
+	cJSON_Delete(o);
+	cJSON_Delete(none);
+}
+
 static void a_relayed_call_says_where_it_came_in(void **state)
 {
 	static const char bad[] = "{\"call\":1,\"last_hop\":true,\"via\":7}";
@@ -201,6 +231,7 @@
 		cmocka_unit_test(null_equals_missing),
 		cmocka_unit_test(deep_nesting_is_refused),
 		cmocka_unit_test(reports_are_read_and_bad_ones_refused),
+		cmocka_unit_test(machine_types_survive_their_record),
 		cmocka_unit_test(a_relayed_call_says_where_it_came_in),
 		cmocka_unit_test(paths_are_taken_apart),
 	};
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -229,6 +229,15 @@
 	EXPECT(until_status("run-000002", "\"running\":2", 1));
 	EXPECT(until_status("run-000001", "\"Status\":\"done\"", 0));
 
+	/* All end while the cloud is out: what they need of it, the record of its types says. */
+	standins.cloud_out = true;
+	restart_all();
+	EXPECT(known_everywhere("run-000001", "\"Status\":\"done\""));
+	EXPECT(submit("run-000006", "sweep", 2, 0));
+	EXPECT(standins_live("run-000002") == 2);
+	standins.cloud_out = false;
+	EXPECT(until_status("run-000006", "\"Status\":\"done\"", 1));
+
 	/* From here on the outside misbehaves, and the leader dies in the middle. */
 	standins.state_refuses = 13;
 	standins.state_slow = 7;
@@ -253,7 +262,7 @@
 	EXPECT(until_status("run-000002", "aborted", 2));
 	EXPECT(standins.twice == 0);
 	/* Finished work is not done again: one completion a task, not counting the lost. */
-	EXPECT(standins.completed >= 6 + 70 + 3);
+	EXPECT(standins.completed >= 6 + 2 + 70 + 3);
 
 	/* Copies of reports come two leases late, and the next machines rented hear nothing. */
 	standins.copies_late = 3;
