How many silent machines are few follows from how many there are

At a thousand machines two are always silent. Ruled out: start-up of what is lost (1 s when the cloud has answered). Change: up to 15% of the ordinary machines may be quiet for 0.7 leases to be enough, with every controller there for a lease as before.

--- a/src/coordination/silence.c
+++ b/src/coordination/silence.c
@@ -12,11 +12,11 @@
 	double quiet_leases; /* leases of silence from which on a machine counts as quiet */
 	double mass_share;   /* share of all machines quiet at once that points at links */
 	double zone_share;   /* the same of one zone's */
-	double calm_leases;  /* leases of silence if hardly any is silent and nothing else is amiss
-	                      */
+	double calm_share;   /* the same up to which the machines must be the cause */
+	double calm_leases;  /* leases of silence if so, and nothing else is amiss */
 	double mass_leases;  /* leases of silence after which they are given up all the same */
 	double with_zone_s;  /* s within which a machine and its zone's controller fall silent */
-} choice = {0.5, 2, 0.6, 0.4, 0.6, 0.7, 3.0, 5.0};
+} choice = {0.5, 2, 0.6, 0.4, 0.6, 0.15, 0.7, 3.0, 5.0};
 
 static double last_sign(const struct fl_node *n, const struct fl_machine *m)
 {
@@ -109,7 +109,7 @@
 		leases[z] = 1;
 		if (too_many(all, choice.mass_share) || too_many(zone[z], choice.zone_share))
 			leases[z] = choice.mass_leases;
-		else if (all.quiet <= choice.few && calm(n, now))
+		else if (!too_many(all, choice.calm_share) && calm(n, now))
 			leases[z] = choice.calm_leases;
 	}
 }
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -867,6 +867,27 @@
 	assert_true(given_up(f));
 }
 
+/*
+ * Found at a thousand machines: dozens that died at once were waited for as if it were two links
+ * that had failed, since more than two were silent. How many is many depends on how many there are.
+ */
+static void a_few_of_many_machines_are_given_up_early(void **state)
+{
+	struct fixture *f = *state;
+
+	hear(f, report(1, 1, EPOCH, NULL, 0), FL_WAY_REPORT);
+	place(f, 0);
+	for (int i = 2; i < 42; i++)
+		another(f, i, false, i % 2)->heard = fl_now() - (i < 7 ? 7 : 0);
+	silent_for(f, 8);
+	assert_true(given_up(f));
+	for (int i = 43; i < 46; i++)
+		another(f, i, false, i % 2)->heard = fl_now() - 7;
+	assert_false(given_up(f));
+	silent_for(f, 11);
+	assert_true(given_up(f));
+}
+
 /* A deaf machine is given up like a silent one, though it reports; many at once point at us. */
 static void deafness_counts_as_silence_but_not_of_all_at_once(void **state)
 {
@@ -914,6 +935,7 @@
 		T(a_node_alone_says_so),
 		T(a_zone_that_falls_silent_keeps_its_machines),
 		T(a_zone_does_not_go_by_twos_and_threes),
+		T(a_few_of_many_machines_are_given_up_early),
 		T(deafness_counts_as_silence_but_not_of_all_at_once),
 	};
 
