A new service goes where its image lies, by a cheap stop if need be

Change: where the best free machine needs a fetch of more than 4 s, a service that goes first has lower work stopped where its image lies, if that loses at most 60 s, and waits for that room.

--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -16,14 +16,17 @@
 };
 
 static const struct {
-	double eps;         /* amounts are sums of decimal fractions */
-	double zone_weight; /* s per replica already in the zone: spreading beats a fetch */
-	double hold_weight; /* s; a machine that no service holds: empty, it could be returned */
-	double odd_weight;  /* s; such a machine, and dear, for a job that may use a cheap one */
-	double pack_weight; /* s per free accelerator left: fill machines, so that others empty */
-	double again_s;     /* s to start over what was lost, beside the work itself */
-	double min_wait_s;  /* s; so that jobs just submitted are ordered by the other factors */
-} choice = {1e-6, 1000, 8, 8, 1, 30, 0.1};
+	double eps;          /* amounts are sums of decimal fractions */
+	double zone_weight;  /* s per replica already in the zone: spreading beats a fetch */
+	double hold_weight;  /* s; a machine that no service holds: empty, it could be returned */
+	double odd_weight;   /* s; such a machine, and dear, for a job that may use a cheap one */
+	double pack_weight;  /* s per free accelerator left: fill machines, so that others empty */
+	double again_s;      /* s to start over what was lost, beside the work itself */
+	double fetch_ahead;  /* times that a fetch counts for a service which goes ahead */
+	double fetch_wait_s; /* s; a longer fetch of such a service is worth a stop elsewhere */
+	double swap_s;       /* s of work that such a stop may lose at most */
+	double min_wait_s;   /* s; so that jobs just submitted are ordered by the other factors */
+} choice = {1e-6, 1000, 8, 8, 1, 30, 3, 4, 60, 0.1};
 
 struct pass {
 	struct fl_sched_in *in;
@@ -34,6 +37,7 @@
 	int *first, *run_of;
 	/* Room that stops under way will free and that is not promised yet, per machine. */
 	double *coming_cpus, *coming_gpus, *coming_ram;
+	uint32_t held; /* tasks of the job in hand that wait for room where their image lies */
 	bool failed;
 };
 
@@ -137,16 +141,20 @@
 	return fmin(1, in->spot_loss * est) * (est / 2 + choice.again_s);
 }
 
+static double fetch_s(const struct fl_sched_job *j, const struct fl_sched_machine *m)
+{
+	for (int i = 0; i < FL_CACHE_NOTE && m->cache; i++)
+		if (m->cache[i] == j->bundle)
+			return 0;
+	return j->image_gb / (m->pull_gb_s > 0 ? m->pull_gb_s : 1);
+}
+
 static double score(const struct fl_sched_in *in, const struct fl_sched_job *j,
                     const struct fl_sched_machine *m)
 {
 	double s = choice.pack_weight * (m->gpus - j->gpus);
-	bool cached = false;
 
-	for (int i = 0; i < FL_CACHE_NOTE && m->cache && !cached; i++)
-		cached = m->cache[i] == j->bundle;
-	if (!cached)
-		s += j->image_gb / (m->pull_gb_s > 0 ? m->pull_gb_s : 1);
+	s += fetch_s(j, m) * (ahead(j) ? choice.fetch_ahead : 1);
 	if (!m->held)
 		s += choice.hold_weight + (j->reclaimable && !m->spot ? choice.odd_weight : 0);
 	if (m->spot)
@@ -266,36 +274,6 @@
 	}
 }
 
-static bool start_each(struct pass *p, int job, const double *ends_by)
-{
-	struct fl_sched_job *j = &p->in->jobs[job];
-	int zone = pick_zone(p->in, j);
-	uint32_t leave = overdue(p->in->params, j) && !j->whole ? j->waiting - 1 : 0;
-
-	while (j->waiting > leave && !p->failed) {
-		int m;
-
-		if (!team_ok(p->in, j))
-			return false;
-		m = best_machine(p, j, zone, ends_by);
-		if (m < 0)
-			return true;
-		start(p, job, m);
-	}
-	return false;
-}
-
-/* Starts what fits now; true if room was what stopped it, not the team's limit. */
-static bool start_fitting(struct pass *p, int job, const double *ends_by)
-{
-	int before = p->out->n_starts;
-	bool no_room = start_each(p, job, ends_by);
-
-	if (p->in->jobs[job].whole && p->in->jobs[job].waiting > 0)
-		undo_starts(p, before);
-	return no_room;
-}
-
 /* May `j` stop `r`? By tier, or to get its team's guarantee from a team beyond its own. */
 static bool may_stop(const struct pass *p, const struct fl_sched_job *j,
                      const struct fl_sched_run *r, bool owed)
@@ -366,9 +344,10 @@
 
 /*
  * Promises room to one more task: what is coming free already, else the cheapest victims. The
- * task starts in a later pass, when the stopped ones are proven gone.
+ * task starts in a later pass, when the stopped ones are proven gone. `image`: only where its image
+ * lies, and at little loss.
  */
-static bool claim_one(struct pass *p, struct fl_sched_job *j, bool owed)
+static bool claim_one(struct pass *p, struct fl_sched_job *j, bool owed, bool image)
 {
 	int *set = malloc(((size_t)p->in->n_runs + 1) * sizeof(*set));
 	double best_cost = INFINITY;
@@ -383,9 +362,11 @@
 		const struct fl_sched_machine *m = &p->in->machines[i];
 		double cost;
 
-		if (!allowed(j, m) || !zone_ok(j, m->zone))
+		if (!allowed(j, m) || !zone_ok(j, m->zone) || (image && fetch_s(j, m) > 0))
 			continue;
 		cost = victims_on(p, j, i, owed, set, &n_set);
+		if (image && cost > choice.swap_s)
+			continue;
 		if (cost < INFINITY)
 			cost += score(p->in, j, m);
 		if (cost < best_cost) {
@@ -409,6 +390,54 @@
 	return best >= 0;
 }
 
+/*
+ * A new service need not wait out a long fetch on a free machine, if another holds its image and
+ * little would be lost by a stop there. The room comes free within a second or so, long before the
+ * fetch could end; when it does not, the free machine is taken after all.
+ */
+static bool hold_for_image(struct pass *p, struct fl_sched_job *j, int machine)
+{
+	double fetch = fetch_s(j, &p->in->machines[machine]);
+
+	return ahead(j) && !j->whole && fetch > choice.fetch_wait_s && j->waited_s < fetch &&
+	       claim_one(p, j, false, true);
+}
+
+static bool start_each(struct pass *p, int job, const double *ends_by)
+{
+	struct fl_sched_job *j = &p->in->jobs[job];
+	int zone = pick_zone(p->in, j);
+	uint32_t leave = overdue(p->in->params, j) && !j->whole ? j->waiting - 1 : 0;
+
+	p->held = 0;
+	while (j->waiting > leave + p->held && !p->failed) {
+		int m;
+
+		if (!team_ok(p->in, j))
+			return false;
+		m = best_machine(p, j, zone, ends_by);
+		if (m < 0)
+			return true;
+		if (hold_for_image(p, j, m)) {
+			p->held++;
+			continue;
+		}
+		start(p, job, m);
+	}
+	return false;
+}
+
+/* Starts what fits now; true if room was what stopped it, not the team's limit. */
+static bool start_fitting(struct pass *p, int job, const double *ends_by)
+{
+	int before = p->out->n_starts;
+	bool no_room = start_each(p, job, ends_by);
+
+	if (p->in->jobs[job].whole && p->in->jobs[job].waiting > 0)
+		undo_starts(p, before);
+	return no_room;
+}
+
 static uint32_t claim(struct pass *p, int job)
 {
 	struct fl_sched_job *j = &p->in->jobs[job];
@@ -417,12 +446,12 @@
 	uint32_t claimed = 0;
 
 	/* An ensemble claims nothing: stops for a part of it would free room it cannot use yet. */
-	while (claimed < j->waiting && !j->whole && !p->failed) {
+	while (claimed < j->waiting - p->held && !j->whole && !p->failed) {
 		bool owed = j->owed && fl_team_within_guarantee(t, t->used_cpus + j->cpus,
 		                                                t->used_gpus + j->gpus);
 
 		if (!team_ok(p->in, j) || (!owed && j->tier == FL_BEST_EFFORT) ||
-		    !claim_one(p, j, owed))
+		    !claim_one(p, j, owed, false))
 			break;
 		t->used_cpus += j->cpus;
 		t->used_gpus += j->gpus;
@@ -598,7 +627,7 @@
 		}
 		if (!no_room)
 			continue;
-		p->out->short_of[job] = j->waiting - claim(p, job);
+		p->out->short_of[job] = j->waiting - p->held - claim(p, job);
 		if (p->out->short_of[job] > 0 && !backfill) {
 			set_window(p, job);
 			if (!p->failed)
