--- a/src/bookkeeping/machines.c
+++ b/src/bookkeeping/machines.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "transport/log.h"
+
 int fl_kind_find(const struct fl_machines *ms, const char *name)
 {
 	for (int i = 0; i < ms->n_kinds; i++)
@@ -20,8 +22,11 @@
 		int at = fl_kind_find(ms, h->name);
 		struct fl_kind *k;
 
-		if (at < 0 && ms->n_kinds == FL_KINDS_KNOWN_MAX)
+		if (at < 0 && ms->n_kinds == FL_KINDS_KNOWN_MAX) {
+			fl_error("cloud", "more than %d machine types: %s is not used",
+			         FL_KINDS_KNOWN_MAX, h->name);
 			continue;
+		}
 		k = &ms->kinds[at >= 0 ? at : ms->n_kinds++];
 		memset(k, 0, sizeof(*k));
 		strcpy(k->name, h->name);
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -469,9 +469,11 @@
 
 	while (!n->kinds_known) {
 		struct fl_host_kind *kinds;
-		int count;
+		int count, rc = read_kinds(n, &kinds, &count);
 
-		if (read_kinds(n, &kinds, &count) == 0) {
+		if (rc == -EPROTO)
+			fl_error("cloud", "its machine types cannot be read");
+		if (rc == 0) {
 			fl_kinds_set(&n->books.machines, &n->books.zones, kinds, count);
 			free(kinds);
 			n->kinds_known = true;
--- a/src/coordination/provision.c
+++ b/src/coordination/provision.c
@@ -304,8 +304,10 @@
 		         pr->want[k].spot == v->spot && pr->want[k].count < FL_RENT_MAX))
 			k++;
 		if (k == pr->n_want) {
-			if (k == FL_WANT_MAX)
-				continue;
+			if (k == FL_WANT_MAX) {
+				fl_debug("cloud", "more than %d rentals: the rest next time", k);
+				break;
+			}
 			pr->want[pr->n_want++] = (struct fl_want){v->kind, v->zone, 0, v->spot};
 		}
 		pr->want[k].count++;
