--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -362,8 +362,9 @@
 	} else {
 		cJSON_Delete(orders.root);
 		fl_refuse(resp, 503,
-		          rc ? "this machine is not known any more"
-		             : "a cancelled job's task is there");
+		          rc               ? "this machine is not known any more"
+		          : !knows_jobs(n) ? "the jobs have not been heard of for too long"
+		                           : "a cancelled job's task is there");
 	}
 }
 
--- a/src/coordination/silence.c
+++ b/src/coordination/silence.c
@@ -49,14 +49,17 @@
 bool fl_silence_lasts(const struct fl_node *n, const struct fl_machine *m, double now,
                       const double leases[FL_ZONES_MAX])
 {
-	double allowed;
+	double allowed, silent = now - last_sign(n, m) - choice.extra_s, kept;
 
 	if (!m->up && m->n_slots == 0)
 		return false;
 	allowed = (m->zone >= 0 ? leases[m->zone] : 1) * n->config->lease_s;
-	if (kept_by_zone(n, m) > 0)
-		allowed = fmax(allowed, n->config->lease_s + kept_by_zone(n, m));
-	return now - last_sign(n, m) > allowed + choice.extra_s;
+	/* Thousands report in time: only of the others is it asked whether their zone keeps them.
+	 */
+	if (silent <= allowed)
+		return false;
+	kept = kept_by_zone(n, m);
+	return kept <= 0 || silent > n->config->lease_s + kept;
 }
 
 struct share {
