--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -55,7 +55,7 @@
 struct fl_job *fl_books_apply(struct fl_books *b, const char *ref, const cJSON *value,
                               uint64_t rev);
 
-/* The record of a leader's live job is `rev`: is it cancelled, and was not known to be? */
+/* Takes in what the record of a leader's live job says; true if it is news that it is cancelled. */
 bool fl_books_cancelled(struct fl_books *b, struct fl_job *job, const struct fl_job_record *rec,
                         uint64_t rev);
 
--- a/src/coordination/answer.c
+++ b/src/coordination/answer.c
@@ -78,7 +78,7 @@
 		poll_record(n, ref, resp);
 }
 
-static int write_cancel(struct fl_node *n, struct fl_job *job, uint64_t *rev)
+static int write_cancel(struct fl_node *n, struct fl_job *job, double cancelled, uint64_t *rev)
 {
 	struct fl_multi m;
 	struct fl_run run;
@@ -89,7 +89,7 @@
 	fl_multi_init(&m);
 	fl_multi_when(&m, FL_KEY_LEAD, n->lease.lead_rev);
 	fl_multi_when(&m, key, job->rev);
-	fl_multi_put(&m, key, fl_job_record_cancelled(&run, job->submitted, fl_wall()), 0);
+	fl_multi_put(&m, key, fl_job_record_cancelled(&run, job->submitted, cancelled), 0);
 	return fl_state_multi(&n->state, &m, rev, NULL);
 }
 
@@ -98,7 +98,7 @@
 	struct fl_final *f = fl_final_find(&n->books, ref);
 	struct fl_job *job = f ? NULL : fl_job_find(&n->books, ref);
 	enum fl_status status;
-	double asked = fl_now();
+	struct fl_job_record rec = {.final = true, .cancelled = fl_wall()};
 	uint64_t rev;
 	bool done = false;
 	int rc;
@@ -128,13 +128,11 @@
 	}
 	/* Till this is answered, only the record knows: see fl_answer_poll. */
 	job->unsure = true;
-	rc = write_cancel(n, job, &rev);
+	rc = write_cancel(n, job, rec.cancelled, &rev);
 	job = n->lead.active ? fl_job_find(&n->books, ref) : NULL;
 	if (job && rc == 0) {
-		job->unsure = false;
-		job->rev = rev;
-		fl_final_add(&n->books, ref, FL_ABORTED, job->parts, asked);
-		fl_command_stop_job(n, job, asked);
+		fl_books_cancelled(&n->books, job, &rec, rev);
+		fl_command_stop_job(n, job);
 		fl_info("jobs", "%s is cancelled", ref);
 	} else if (job && rc == -EAGAIN) {
 		job->unsure = false;
--- a/src/coordination/command.c
+++ b/src/coordination/command.c
@@ -88,10 +88,8 @@
 	}
 }
 
-void fl_command_stop_job(struct fl_node *n, struct fl_job *job, double cancelled_at)
+void fl_command_stop_job(struct fl_node *n, struct fl_job *job)
 {
-	job->aborted = true;
-	job->aborted_at = cancelled_at;
 	for (int i = 0; i < n->books.machines.n; i++) {
 		struct fl_machine *m = n->books.machines.at[i];
 
--- a/src/coordination/hearing.c
+++ b/src/coordination/hearing.c
@@ -62,13 +62,11 @@
 	bool session_lost, missed;
 	double gap;
 
-	if (m->answered <= 0) {
-		m->via = r->via;
-		return;
-	}
-	gap = now - m->answered;
+	gap = m->answered > 0 ? now - m->answered : 0;
 	m->waited = waited_out(n, m, r, gap);
 	m->via = r->via;
+	if (m->answered <= 0)
+		return;
 	/* Had it heard the last answer, its lease could not have ended by now. */
 	session_lost = r->tenure > m->tenure && m->tenure > 0 &&
 	               gap < n->config->lease_s - choice.patience_s;
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -368,16 +368,16 @@
 	}
 }
 
-static int via_index(const struct fl_node *n, const char *via)
+static int via_index(struct fl_node *n, const char *via)
 {
+	const struct fl_peer *p;
+
 	if (!via || !via[0])
 		return 0;
 	if (strcmp(via, n->config->node) == 0)
 		return 1;
-	for (int i = 0; i < n->n_peers; i++)
-		if (strcmp(via, n->peers[i].name) == 0)
-			return 2 + i;
-	return 0;
+	p = find_peer(n, via);
+	return p ? 2 + (int)(p - n->peers) : 0;
 }
 
 void fl_keeper_report(struct fl_node *n, const char *body, size_t len, enum fl_hop hop,
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -405,7 +405,7 @@
 		return;
 	if (job->aborted && !known) {
 		fl_info("jobs", "%s is cancelled, says its record", ref);
-		fl_command_stop_job(n, job, job->aborted_at);
+		fl_command_stop_job(n, job);
 	}
 	n->lead.due = true;
 	fl_signal_wake(&n->lead.work);
--- a/src/coordination/record.c
+++ b/src/coordination/record.c
@@ -49,7 +49,7 @@
 {
 	if (!fl_books_cancelled(&n->books, job, rec, rev))
 		return;
-	fl_command_stop_job(n, job, job->aborted_at);
+	fl_command_stop_job(n, job);
 	fl_info("jobs", "%s is cancelled, says its record", job->ref);
 }
 
--- a/src/coordination/silence.c
+++ b/src/coordination/silence.c
@@ -54,8 +54,7 @@
 	if (!m->up && m->n_slots == 0)
 		return false;
 	allowed = (m->zone >= 0 ? leases[m->zone] : 1) * n->config->lease_s;
-	/* Thousands report in time: only of the others is it asked whether their zone keeps them.
-	 */
+	/* Thousands report in time; of the few others it is asked who may keep them. */
 	if (silent <= allowed)
 		return false;
 	kept = kept_by_zone(n, m);
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -125,7 +125,9 @@
 		n->jobs_at = fmax(n->jobs_at, sent);
 		rc = fl_state_list(&n->state, FL_PREFIX_LOG, load_log, &l, &rev);
 	}
-	if (!rc && n->lease.held)
+	if (!rc && !n->lease.held)
+		rc = -EAGAIN; /* lost meanwhile: the rest is no use, and half is no picture */
+	if (!rc)
 		rc = fl_state_list(&n->state, FL_PREFIX_PROGRESS, load_chunk, &l, &rev);
 	if (!rc)
 		load_rest_of_log(&l);
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -435,14 +435,20 @@
 	assert_true(k->tenure == 2 && k->serial == 3 && !k->stored);
 }
 
-/* As every node hears of it from the records: the job was cancelled so long ago. */
-static void hear_of_cancel(struct fixture *f, double seconds)
+/* The record of the job, cancelled so long ago. */
+static cJSON *cancelled_record(struct fixture *f, double seconds)
 {
 	struct fl_run run;
-	cJSON *v;
 
 	fl_job_describe(&f->node.books, f->job, &run);
-	v = fl_job_record_cancelled(&run, 1, fl_wall() - seconds);
+	return fl_job_record_cancelled(&run, 1, fl_wall() - seconds);
+}
+
+/* As every node hears of it. */
+static void hear_of_cancel(struct fixture *f, double seconds)
+{
+	cJSON *v = cancelled_record(f, seconds);
+
 	assert_null(fl_books_apply(&f->node.books, f->job->ref, v, 9));
 	cJSON_Delete(v);
 }
@@ -544,12 +550,10 @@
 	struct fixture *f = *state;
 	struct fl_final *final;
 	struct fl_job_record rec;
-	struct fl_run run;
 	cJSON *v;
 
 	f->job->unsure = true;
-	fl_job_describe(&f->node.books, f->job, &run);
-	v = fl_job_record_cancelled(&run, 1, fl_wall() - 3);
+	v = cancelled_record(f, 3);
 	assert_int_equal(fl_job_record_decode(v, &rec), 0);
 	fl_record_heard(&f->node, f->job, &rec, 9);
 	assert_true(f->job->aborted && !f->job->unsure && f->job->rev == 9);
@@ -570,11 +574,9 @@
 {
 	struct fixture *f = *state;
 	struct fl_job_record rec;
-	struct fl_run run;
 	cJSON *v;
 
-	fl_job_describe(&f->node.books, f->job, &run);
-	v = fl_job_record_cancelled(&run, 1, fl_wall() - 20);
+	v = cancelled_record(f, 20);
 	assert_int_equal(fl_job_record_decode(v, &rec), 0);
 	cJSON_Delete(v);
 	assert_true(rec.final && rec.has_run && rec.status == FL_ABORTED);
