What one controller learns of cancellations, all know: outages end no task by themselves

Cause: a node's knowledge of cancellations came from its own reads alone.

Now gossip carries cancellations with their age. A node knows as much as a peer that has told it all it learned since, and when all have answered, the oldest question counts like a read: no user hears of a cancellation but from a controller that has learned of it. Whoever answers a report orders what it knows to be cancelled to stop.

--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -1,5 +1,6 @@
 #include "bookkeeping/jobs.h"
 
+#include <errno.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -30,21 +31,65 @@
 	if (f)
 		return; /* a final state never changes */
 	f = calloc(1, sizeof(*f));
-	if (!f)
+	if (!f) {
+		b->finals_lost_at = fl_now();
 		return;
+	}
 	strcpy(f->ref, ref);
 	f->status = (uint8_t)status;
 	f->parts = parts;
 	f->cancelled_at = cancelled_at;
+	f->learned_at = fl_now();
 	HASH_ADD_STR(b->finals, ref, f);
 	if (b->finals_most > 0 && HASH_COUNT(b->finals) > b->finals_most) {
 		struct fl_final *oldest = b->finals;
 
 		HASH_DEL(b->finals, oldest);
+		b->finals_lost_at = oldest->learned_at;
 		free(oldest);
 	}
 }
 
+int fl_finals_cancelled_since(const struct fl_books *b, double since, const struct fl_final **out,
+                              int most)
+{
+	const struct fl_final *f = NULL;
+	int n = 0;
+
+	if (b->finals_lost_at > since)
+		return -E2BIG;
+	if (b->finals)
+		f = ELMT_FROM_HH(b->finals->hh.tbl, b->finals->hh.tbl->tail);
+	for (; f && f->learned_at >= since; f = f->hh.prev) {
+		if (f->status != FL_ABORTED)
+			continue;
+		if (n == most)
+			return -E2BIG;
+		out[n++] = f;
+	}
+	return n;
+}
+
+void fl_books_told_cancelled(struct fl_books *b, const char *ref, double cancelled_at)
+{
+	struct fl_job *job = fl_job_find(b, ref);
+
+	if (fl_final_find(b, ref))
+		return;
+	if (!job) {
+		fl_final_add(b, ref, FL_ABORTED, 0, cancelled_at);
+		return;
+	}
+	job->aborted_at = cancelled_at;
+	if (!b->leading) {
+		fl_job_finalise(b, job, FL_ABORTED);
+		return;
+	}
+	/* A leader that is cut off: it still has the tasks to count, and reads the record later. */
+	job->aborted = true;
+	fl_final_add(b, ref, FL_ABORTED, job->parts, cancelled_at);
+}
+
 static uint32_t kinds_mask(const struct fl_books *b, const struct fl_run *run)
 {
 	uint32_t mask = 0;
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -77,6 +77,7 @@
 	uint8_t status; /* fl_status */
 	uint32_t parts;
 	double cancelled_at; /* steady, of one that is ABORTED: its tasks must be gone in time */
+	double learned_at;   /* steady; since when this process knows it */
 };
 
 struct fl_books {
@@ -86,6 +87,7 @@
 	struct fl_job *jobs;     /* live, by ref */
 	struct fl_final *finals; /* by ref, oldest first */
 	unsigned finals_most;    /* the oldest beyond it are left to the records; 0: no limit */
+	double finals_lost_at;   /* steady; the newest of what was learned and is not held any more */
 	struct fl_job *dirty;    /* jobs with unsaved chunks */
 	uint64_t list_rev;       /* of the list that the leadership began with */
 	bool leading;            /* tasks and machines are held here, not only descriptions */
@@ -102,6 +104,14 @@
 void fl_job_drop(struct fl_books *b, struct fl_job *job);
 void fl_final_add(struct fl_books *b, const char *ref, enum fl_status status, uint32_t parts,
                   double cancelled_at);
+/*
+ * Every cancellation that this process has learned of since then, newest first: how many, or -E2BIG
+ * if there are more than `most` or some are not held any more.
+ */
+int fl_finals_cancelled_since(const struct fl_books *b, double since, const struct fl_final **out,
+                              int most);
+/* Another controller says that this job is cancelled; what the record says comes later. */
+void fl_books_told_cancelled(struct fl_books *b, const char *ref, double cancelled_at);
 
 /*
  * NULL for a chunk that was never touched. A job that was cancelled before any of its tasks was
--- a/src/coordination/answer.c
+++ b/src/coordination/answer.c
@@ -52,6 +52,9 @@
 		job = n->lead.active ? fl_job_find(&n->books, ref) : NULL;
 		if (job && v && rev > job->rev)
 			fl_record_heard(n, job, &rec, rev);
+		else if (!job && v)
+			fl_final_add(&n->books, ref, rec.status, rec.parts,
+			             fl_since(rec.cancelled));
 		resp->status = 200;
 		resp->body =
 			fl_status_encode(ref, rec.status, rec.status == FL_DONE ? rec.parts : 0, 0);
@@ -138,6 +141,8 @@
 		job->unsure = false;
 	} else if (job) {
 		fl_record_reread_job(n, ref, &done, &status);
+	} else if (rc == 0) {
+		fl_books_told_cancelled(&n->books, ref, fl_since(rec.cancelled));
 	}
 	f = fl_final_find(&n->books, ref);
 	if (f)
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -1,10 +1,12 @@
 #include "coordination/keeper.h"
 
 #include <errno.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "coordination/command.h"
 #include "coordination/node.h"
 #include "coordination/reconcile.h"
 #include "transport/clock.h"
@@ -16,6 +18,7 @@
 	double direct_s;       /* s of it for the straight way, if there is another */
 	double gossip_s;       /* s between two exchanges with each peer */
 	double gossip_wait_s;  /* s; a link that takes longer counts as down */
+	double gossip_slack_s; /* s; told once more, for clocks that drift apart */
 	double refresh_s;      /* s; least time between two reads for a fresher proof */
 	double refresh_wait_s; /* s for which a report waits for such a read */
 	double digest_s;       /* s between two digests in the state service */
@@ -28,7 +31,7 @@
 	double alone_s;        /* s without any word before a node counts as alone */
 	double probe_s;        /* s; the balancer asks about once a second */
 	double at_once_s;      /* s within which links that fail together fail for one reason */
-} choice = {1.5, 0.7, 1.0, 1.0, 0.5, 1.5, 2.0, 1.0, 1.0, 1.5, 1.0, 0.85, 0.12, 1.5, 2.5, 4.0};
+} choice = {1.5, 0.7, 1.0, 1.0, 1.0, 0.5, 1.5, 2.0, 1.0, 1.0, 1.5, 1.0, 0.85, 0.12, 1.5, 2.5, 4.0};
 
 static struct fl_peer *find_peer(struct fl_node *n, const char *name)
 {
@@ -130,10 +133,14 @@
 	return c->cancel_s - c->lease_s - choice.margin_s;
 }
 
-/* Never a lower epoch: the worker would drop it and wait there until its lease ends. */
+/*
+ * Never a lower epoch: the worker would drop it and wait there until its lease ends. How old it is
+ * does not matter: a lease renewed with an old epoch decides nothing, and a worker that has met a
+ * newer one drops the answer.
+ */
 static bool has_epoch(const struct fl_node *n, uint64_t epoch)
 {
-	return n->epoch > 0 && n->epoch >= epoch && fl_now() - n->proof_at <= fl_keeper_keep_s(n);
+	return n->epoch > 0 && n->epoch >= epoch;
 }
 
 static bool knows_jobs(const struct fl_node *n)
@@ -166,6 +173,23 @@
 	return false;
 }
 
+/*
+ * What is known to be cancelled is stopped by whoever answers, not only no longer kept: the final
+ * state is stored, so the stop is right whichever node orders it, and comes with the answer that
+ * renews the lease, or neither does.
+ */
+static void stop_cancelled(const struct fl_node *n, const struct fl_report *r,
+                           struct fl_orders *orders)
+{
+	for (int i = 0; i < r->n_parts; i++) {
+		const struct fl_part *p = &r->parts[i];
+		const struct fl_final *f = fl_final_find(&n->books, p->ref);
+
+		if (p->state != FL_ENDED && f && f->status == FL_ABORTED)
+			fl_orders_add(orders, FL_KILL, p->ref, p->index, p->attempt, 0);
+	}
+}
+
 /*
  * A node that has just started is asked by many workers at once and has no proof yet. One read
  * serves them all: a worker refused meanwhile loses seconds of its lease on nodes that are down.
@@ -198,7 +222,7 @@
 	if (!may_keep(n, r->epoch)) {
 		fl_debug("keeper", "%s is refused: epoch %llu, known %llu, proof %.1f s old",
 		         r->host, (unsigned long long)r->epoch, (unsigned long long)n->epoch,
-		         fl_now() - n->proof_at);
+		         fl_now() - n->jobs_at);
 		fl_refuse(resp, 503, "no proof of the epoch");
 		return;
 	}
@@ -209,6 +233,7 @@
 		return;
 	}
 	fl_orders_init(&orders, n->epoch);
+	stop_cancelled(n, r, &orders);
 	resp->status = 200;
 	resp->body = fl_orders_take(&orders);
 	keep(n, r);
@@ -357,6 +382,9 @@
 	rc = fl_reconcile_report(n, r, &orders, FL_WAY_REPORT);
 	/* What is only answered, not taken in, gets no stop either: see holds_overdue. */
 	if (rc == 0 && knows_jobs(n) && (orders.n > 0 || !holds_overdue(n, r))) {
+		/* The same report relayed twice, or from before this leadership. */
+		if (orders.n == 0)
+			stop_cancelled(n, r, &orders);
 		resp->status = 200;
 		resp->body = fl_orders_take(&orders);
 	} else {
@@ -406,6 +434,44 @@
 	fl_report_free(&r);
 }
 
+static void learn_cancelled(struct fl_node *n, const struct fl_gossip *g)
+{
+	for (int i = 0; i < g->n_cancelled; i++) {
+		const struct fl_cancelled *c = &g->cancelled[i];
+		struct fl_job *job;
+
+		if (fl_final_find(&n->books, c->ref))
+			continue;
+		fl_books_told_cancelled(&n->books, c->ref, fl_now() - c->age_s);
+		job = n->lead.active ? fl_job_find(&n->books, c->ref) : NULL;
+		if (job)
+			fl_command_stop_job(n, job);
+		fl_info("jobs", "%s is cancelled, says %s", c->ref, g->node);
+	}
+}
+
+/*
+ * What a peer has learned since what this node knows makes this node know as much as the peer. And
+ * no user hears of a cancellation but from a controller that has learned of it: if all of them have
+ * answered, nothing that anybody was told before the oldest of these questions is missing here,
+ * whatever the state service does meanwhile. A process that has not read the jobs itself since it
+ * started speaks for nobody: the one before it may have told a user.
+ */
+static void learn(struct fl_node *n, struct fl_peer *p, const struct fl_gossip *g, double sent)
+{
+	double all = sent;
+
+	learn_cancelled(n, g);
+	/* Standing still after it was said how old our knowledge is, we were told too little. */
+	if (!g->whole || !n->jobs_known ||
+	    fl_now() > sent + choice.gossip_wait_s + choice.gossip_slack_s / 2)
+		return;
+	p->told_at = sent;
+	for (int i = 0; i < n->n_peers; i++)
+		all = fmin(all, n->peers[i].told_at);
+	n->jobs_at = fmax(n->jobs_at, fmax(all, sent - g->known_age_s));
+}
+
 static void hear(struct fl_node *n, const struct fl_gossip *g, double sent)
 {
 	double proof = sent - g->proof_age_s;
@@ -427,30 +493,80 @@
 	}
 }
 
+static double age(double at) { return fmin(1e6, fmax(0, fl_now() - at)); }
+
+/* What this node has learned since `since`, for an answer that can be relied on. */
+static void tell_cancelled(const struct fl_node *n, double since, struct fl_gossip *g)
+{
+	const struct fl_final *list[FL_GOSSIP_CANCELLED_MAX];
+	int count = fl_finals_cancelled_since(&n->books, since, list, FL_GOSSIP_CANCELLED_MAX);
+
+	if (!n->jobs_known || count < 0)
+		return;
+	g->cancelled = calloc((size_t)count + 1, sizeof(*g->cancelled));
+	if (!g->cancelled)
+		return;
+	g->whole = true;
+	g->n_cancelled = count;
+	for (int i = 0; i < count; i++) {
+		strcpy(g->cancelled[i].ref, list[i]->ref);
+		g->cancelled[i].age_s = age(list[i]->cancelled_at);
+	}
+}
+
 static void say(struct fl_node *n, struct fl_gossip *g)
 {
 	memset(g, 0, sizeof(*g));
 	strcpy(g->node, n->config->node);
 	strcpy(g->leader, n->leader);
 	g->epoch = n->epoch;
-	g->proof_age_s = fl_now() - n->proof_at;
-	if (g->proof_age_s > 1e6)
-		g->proof_age_s = 1e6;
+	g->proof_age_s = age(n->proof_at);
+	g->known_age_s = age(n->jobs_at);
 	g->leads = fl_lease_valid(n);
 }
 
 void fl_keeper_gossip(struct fl_node *n, const char *body, size_t len, struct fl_response *resp)
 {
 	struct fl_gossip g;
+	double since;
 
 	if (fl_gossip_decode(body, len, &g) != 0) {
+		fl_error("peers", "a message that is not gossip");
 		fl_refuse(resp, 400, "not gossip");
 		return;
 	}
-	/* No proof from here: a request may have been held back on its way for minutes. */
+	/*
+	 * No proof from here: a request may have been held back on its way for minutes. But then
+	 * nobody waits for the answer any more, so the asker's age was this at most a wait ago.
+	 */
+	since = fl_now() - g.known_age_s - choice.gossip_wait_s - choice.gossip_slack_s;
+	fl_gossip_free(&g);
 	say(n, &g);
+	tell_cancelled(n, since, &g);
 	resp->status = 200;
 	resp->body = fl_gossip_encode(&g);
+	fl_gossip_free(&g);
+}
+
+char *fl_keeper_ask(struct fl_node *n)
+{
+	struct fl_gossip mine;
+
+	say(n, &mine);
+	return fl_gossip_encode(&mine);
+}
+
+void fl_keeper_told(struct fl_node *n, struct fl_peer *p, const char *body, size_t len, double sent)
+{
+	struct fl_gossip theirs;
+
+	if (fl_gossip_decode(body, len, &theirs) != 0) {
+		fl_error("peers", "%s answers what is not gossip", p->name);
+		return;
+	}
+	learn(n, p, &theirs, sent);
+	hear(n, &theirs, sent);
+	fl_gossip_free(&theirs);
 }
 
 static void gossip_duty(void *arg)
@@ -460,21 +576,16 @@
 
 	while (fl_sleep(choice.gossip_s) == 0) {
 		double sent = fl_now();
-		struct fl_gossip mine, theirs;
 		struct fl_reply reply;
-		char *text;
+		char *text = fl_keeper_ask(n);
 		int rc;
 
-		say(n, &mine);
-		text = fl_gossip_encode(&mine);
 		rc = fl_http_call(&p->http, "POST", "/gossip", text, choice.gossip_wait_s, &reply);
 		free(text);
 		if (rc == 0) {
 			p->heard_at = fl_now();
-			if (reply.status == 200 &&
-			    fl_gossip_decode(reply.body.data, reply.body.len, &theirs) == 0) {
-				hear(n, &theirs, sent);
-			}
+			if (reply.status == 200)
+				fl_keeper_told(n, p, reply.body.data, reply.body.len, sent);
 			fl_buf_free(&reply.body);
 		}
 		if (p->up != (rc == 0)) {
@@ -602,7 +713,7 @@
 
 	fl_budget_init(&n->keeper.writes, rate, rate * choice.digest_s, fl_now());
 	for (int i = 0; i < n->n_peers; i++) {
-		n->peers[i].heard_at = -1e9;
+		n->peers[i].heard_at = n->peers[i].told_at = -1e9;
 		fl_spawn(gossip_duty, &n->peers[i]);
 	}
 	fl_spawn(digest_duty, n);
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -15,6 +15,7 @@
 #include "transport/routine.h"
 
 struct fl_node;
+struct fl_peer;
 
 /* Where a call stands: it came from outside, or from a node that asks only this one. */
 enum fl_hop {
@@ -73,6 +74,10 @@
  * nothing on, and nobody can order its workers' machines through it.
  */
 bool fl_keeper_alone(const struct fl_node *n);
+/* What one controller asks another about once a second; the answer; and what the answer tells. */
+char *fl_keeper_ask(struct fl_node *n);
 void fl_keeper_gossip(struct fl_node *n, const char *body, size_t len, struct fl_response *resp);
+void fl_keeper_told(struct fl_node *n, struct fl_peer *p, const char *body, size_t len,
+                    double sent);
 
 #endif
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -242,6 +242,9 @@
 	cJSON *v = NULL;
 	int rc = fl_ledger_read(&n->state, ref, &rec, &v, &rev);
 
+	/* What a user is told here, the other controllers must hear from here. */
+	if (rc == 0 && rec.final && v)
+		fl_books_told_cancelled(&n->books, ref, fl_since(rec.cancelled));
 	cJSON_Delete(v);
 	if (rc == -ENOENT) {
 		fl_refuse(resp, 404, "no such job");
@@ -434,7 +437,7 @@
 			                     n);
 		}
 		if (rc == 0)
-			n->jobs_at = sent;
+			n->jobs_at = fmax(n->jobs_at, sent);
 		if (rc == 0 && !n->jobs_known) {
 			n->jobs_known = true;
 			fl_signal_wake(&n->jobs_listed);
@@ -487,6 +490,7 @@
 static int set_up(struct fl_node *n, const struct fl_config *c)
 {
 	n->config = c;
+	n->books.finals_lost_at = -1e9;
 	n->books.finals_most =
 		(unsigned)(c->ram_mb * 1024 * 1024 * choice.finals_share / sizeof(struct fl_final));
 	snprintf(n->boot, sizeof(n->boot), "%s-%.6f", c->node, fl_wall());
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -21,6 +21,7 @@
 	char location[FL_NAME_MAX];
 	double up_since; /* steady; while up */
 	double heard_at; /* steady; of the last exchange that came back */
+	double told_at;  /* steady; of our sending of the last one that told us all it knows */
 	bool up;
 };
 
@@ -33,7 +34,11 @@
 	int n_peers;
 	char boot[96]; /* names this process, not only this node */
 	bool kinds_known, jobs_known;
-	double jobs_at; /* steady; every change of a job record up to then is in the books */
+	/*
+	 * Steady. Every cancellation that any user was told of, or any controller had learned of,
+	 * up to then is in the books: see "Keeping" in docs/design.md.
+	 */
+	double jobs_at;
 	struct fl_signal jobs_listed; /* the first list of them has come */
 
 	/* What is known of leadership, with the steady time at which it was surely true. */
--- a/src/protocol/peers.c
+++ b/src/protocol/peers.c
@@ -6,16 +6,49 @@
 
 char *fl_gossip_encode(const struct fl_gossip *g)
 {
-	cJSON *o = cJSON_CreateObject();
+	cJSON *o = cJSON_CreateObject(), *list, *e;
 
 	cJSON_AddStringToObject(o, "node", g->node);
 	cJSON_AddStringToObject(o, "leader", g->leader);
 	cJSON_AddNumberToObject(o, "epoch", (double)g->epoch);
 	cJSON_AddNumberToObject(o, "proof_age_s", g->proof_age_s);
 	cJSON_AddBoolToObject(o, "leads", g->leads);
+	cJSON_AddNumberToObject(o, "known_age_s", g->known_age_s);
+	cJSON_AddBoolToObject(o, "whole", g->whole);
+	list = cJSON_AddArrayToObject(o, "cancelled");
+	for (int i = 0; i < g->n_cancelled; i++) {
+		e = cJSON_CreateArray();
+		cJSON_AddItemToArray(e, cJSON_CreateString(g->cancelled[i].ref));
+		cJSON_AddItemToArray(e, cJSON_CreateNumber(g->cancelled[i].age_s));
+		cJSON_AddItemToArray(list, e);
+	}
 	return fl_json_take(o);
 }
 
+static int decode_cancelled(const cJSON *list, struct fl_gossip *out)
+{
+	int n = cJSON_GetArraySize(list);
+	const cJSON *e;
+
+	if (!cJSON_IsArray(list) || n > FL_GOSSIP_CANCELLED_MAX)
+		return -EPROTO;
+	out->cancelled = calloc((size_t)n + 1, sizeof(*out->cancelled));
+	if (!out->cancelled)
+		return -ENOMEM;
+	cJSON_ArrayForEach (e, list) {
+		const cJSON *ref = cJSON_GetArrayItem(e, 0), *age = cJSON_GetArrayItem(e, 1);
+		struct fl_cancelled *c = &out->cancelled[out->n_cancelled++];
+
+		if (!cJSON_IsString(ref) || strlen(ref->valuestring) >= sizeof(c->ref) ||
+		    !fl_ref_ok(ref->valuestring) || !cJSON_IsNumber(age) ||
+		    !(age->valuedouble >= 0))
+			return -EPROTO;
+		strcpy(c->ref, ref->valuestring);
+		c->age_s = age->valuedouble;
+	}
+	return 0;
+}
+
 int fl_gossip_decode(const char *body, size_t len, struct fl_gossip *out)
 {
 	cJSON *o = fl_json_parse(body, len);
@@ -26,12 +59,25 @@
 	    fl_json_str(o, "leader", out->leader, sizeof(out->leader)) != FL_FIELD_OK ||
 	    fl_json_count(o, "epoch", &out->epoch) != FL_FIELD_OK ||
 	    fl_json_amount(o, "proof_age_s", &out->proof_age_s) != FL_FIELD_OK ||
-	    fl_json_bool(o, "leads", &out->leads) != FL_FIELD_OK)
+	    fl_json_bool(o, "leads", &out->leads) != FL_FIELD_OK ||
+	    fl_json_amount(o, "known_age_s", &out->known_age_s) != FL_FIELD_OK ||
+	    fl_json_bool(o, "whole", &out->whole) != FL_FIELD_OK)
 		rc = -EPROTO;
+	if (!rc)
+		rc = decode_cancelled(fl_json_get(o, "cancelled"), out);
+	if (rc)
+		fl_gossip_free(out);
 	cJSON_Delete(o);
 	return rc;
 }
 
+void fl_gossip_free(struct fl_gossip *g)
+{
+	free(g->cancelled);
+	g->cancelled = NULL;
+	g->n_cancelled = 0;
+}
+
 char *fl_relay_encode(enum fl_user_call call, bool last_hop, bool adrift, const char *ref,
                       const char *via, const char *body)
 {
--- a/src/protocol/peers.h
+++ b/src/protocol/peers.h
@@ -4,15 +4,33 @@
 
 #include "protocol/workers.h"
 
+/* A cancellation, and how long ago it was made. */
+struct fl_cancelled {
+	char ref[FL_REF_MAX];
+	double age_s;
+};
+
+enum { FL_GOSSIP_CANCELLED_MAX = 512 };
+
 struct fl_gossip {
 	char node[FL_NAME_MAX], leader[FL_NAME_MAX]; /* leader empty: none known */
 	uint64_t epoch;
-	double proof_age_s; /* since the sending of the state read that the proof rests on */
+	double proof_age_s; /* since the sending of the state read that leader and epoch rest on */
 	bool leads;         /* the sender holds a valid lease */
+	double known_age_s; /* since when the sender may lack a cancellation */
+	/*
+	 * Of an answer: `cancelled` is all that the sender has learned since what the asker knows.
+	 * Else it is nothing to rely on.
+	 */
+	bool whole;
+	struct fl_cancelled *cancelled; /* owned; see fl_gossip_free */
+	int n_cancelled;
 };
 
 char *fl_gossip_encode(const struct fl_gossip *g);
+/* 0, or -EPROTO with nothing held. */
 int fl_gossip_decode(const char *body, size_t len, struct fl_gossip *out);
+void fl_gossip_free(struct fl_gossip *g);
 
 /* Relayed requests travel as they came, wrapped with where they belong. */
 struct fl_relay {
--- a/src/transport/clock.c
+++ b/src/transport/clock.c
@@ -15,4 +15,10 @@
 
 double fl_wall(void) { return read_clock(CLOCK_REALTIME); }
 
-double fl_since(double wall) { return fl_now() - (wall > 0 ? fmax(0, fl_wall() - wall) : 0); }
+double fl_since(double wall)
+{
+	/* In this order: a process that stands still in between takes it for older, never newer. */
+	double now = fl_now();
+
+	return now - (wall > 0 ? fmax(0, fl_wall() - wall) : 0);
+}
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -385,7 +385,7 @@
 	for (int i = 0; i < peers; i++) {
 		snprintf(n->peers[i].name, sizeof(n->peers[i].name), "n%d", i + 1);
 		strcpy(n->peers[i].location, "b");
-		n->peers[i].heard_at = -1e9;
+		n->peers[i].heard_at = n->peers[i].told_at = -1e9;
 	}
 	n->jobs_at = n->state.last_ok = fl_now();
 	n->state.last_refusal = -1e9;
@@ -400,11 +400,23 @@
 	return resp;
 }
 
+static int kills_in_answer; /* of the report sent last */
+
 static int send_report(struct fixture *f, struct fl_report r, char *to)
 {
 	char *text = fl_report_encode(&r);
 	struct fl_response resp = call(f, FL_CALL_REPORT, NULL, text);
 	cJSON *o = resp.body ? fl_json_parse(resp.body, strlen(resp.body)) : NULL;
+	const cJSON *e;
+
+	kills_in_answer = 0;
+	cJSON_ArrayForEach (e, fl_json_get(o, "Orders")) {
+		char verb[16];
+
+		fl_json_str(e, "Verb", verb, sizeof(verb));
+		assert_string_not_equal(verb, "launch");
+		kills_in_answer += strcmp(verb, "kill") == 0;
+	}
 
 	if (to && fl_json_str(o, "Steward", to, FL_NAME_MAX) != FL_FIELD_OK)
 		to[0] = 0;
@@ -484,6 +496,125 @@
 	assert_int_equal(send_report(f, report(1, 24, EPOCH, NULL, 0), NULL), 503);
 }
 
+/* One exchange between two controllers, asked so long ago. */
+static void gossip(struct fixture *from, int peer, struct fixture *to, double ago_s)
+{
+	char *ask = fl_keeper_ask(&from->node);
+	struct fl_response resp = {0};
+
+	fl_keeper_gossip(&to->node, ask, strlen(ask), &resp);
+	assert_int_equal(resp.status, 200);
+	fl_keeper_told(&from->node, &from->node.peers[peer], resp.body, strlen(resp.body),
+	               fl_now() - ago_s);
+	free(resp.body);
+	free(ask);
+}
+
+/*
+ * The day that the users call gap: a node that the state service refuses hears from another what
+ * has been cancelled, so it knows as much as that one, and stops it with the very answer that
+ * renews the lease.
+ */
+static void what_one_controller_knows_another_learns(void **state)
+{
+	struct fixture *f = *state, *other;
+	struct fl_part p = running(0, 1);
+	double keep = f->config.cancel_s - f->config.lease_s - 1;
+
+	set_up((void **)&other);
+	follow(f, 2);
+	follow(other, 2);
+	f->node.jobs_at = fl_now() - keep - 1;
+	assert_int_equal(send_report(f, report(1, 20, EPOCH, &p, 1), NULL), 503);
+	/* The other has read the records 3 s ago, and a job has been cancelled since. */
+	hear_of_cancel(other, 1);
+	other->node.jobs_at = fl_now() - 3;
+	gossip(f, 0, other, 0.01);
+	assert_true(f->node.jobs_at > fl_now() - 4 && f->node.jobs_at < fl_now() - 3);
+	assert_int_equal(send_report(f, report(1, 21, EPOCH, &p, 1), NULL), 200);
+	assert_int_equal(kills_in_answer, 1);
+	/* What has ended needs no stop, and what is not cancelled gets none. */
+	p.state = FL_ENDED;
+	assert_int_equal(send_report(f, report(1, 22, EPOCH, &p, 1), NULL), 200);
+	assert_int_equal(kills_in_answer, 0);
+	p = running(0, 1);
+	strcpy(p.ref, "run-000002");
+	assert_int_equal(send_report(f, report(1, 23, EPOCH, &p, 1), NULL), 200);
+	assert_int_equal(kills_in_answer, 0);
+	tear_down((void **)&other);
+}
+
+/*
+ * In an outage nobody can read. But no user is told of a cancellation except by a controller that
+ * has learned of it: when all have answered, the oldest question counts like a read. One that is
+ * silent, has not read since it started, knows more than fits, or answers too late ends that.
+ */
+static void what_all_controllers_know_is_as_good_as_a_read(void **state)
+{
+	struct fixture *f = *state, *a, *b;
+	double keep = f->config.cancel_s - f->config.lease_s - 1, old;
+
+	set_up((void **)&a);
+	set_up((void **)&b);
+	follow(f, 2);
+	follow(a, 2);
+	follow(b, 2);
+	old = f->node.jobs_at = a->node.jobs_at = b->node.jobs_at = fl_now() - keep - 1;
+	gossip(f, 0, a, 0.1);
+	assert_true(f->node.jobs_at <= old);
+	b->node.jobs_known = false; /* back since a moment ago: what did the one before it say? */
+	gossip(f, 1, b, 0.1);
+	assert_true(f->node.jobs_at <= old);
+	b->node.jobs_known = true;
+	gossip(f, 1, b, 2.0); /* it stood still between the question and its sending */
+	assert_true(f->node.jobs_at <= old);
+	b->node.books.finals_lost_at = fl_now(); /* something learned is not held any more */
+	gossip(f, 1, b, 0.1);
+	assert_true(f->node.jobs_at <= old);
+	b->node.books.finals_lost_at = -1e9;
+	for (int i = 0; i <= FL_GOSSIP_CANCELLED_MAX; i++) {
+		char ref[FL_REF_MAX];
+
+		snprintf(ref, sizeof(ref), "run-%06d", 1000 + i);
+		fl_final_add(&b->node.books, ref, FL_ABORTED, 1, fl_now());
+	}
+	gossip(f, 1, b, 0.1);
+	assert_true(f->node.jobs_at <= old);
+	for (struct fl_final *e = b->node.books.finals; e; e = e->hh.next)
+		e->learned_at = old - 9; /* known before what the asker knows: not told again */
+	/* The last thing that it learned, and the only one that is told. */
+	fl_final_add(&b->node.books, "run-000001", FL_ABORTED, 1, fl_now());
+	gossip(f, 1, b, 0.1);
+	assert_true(f->node.jobs_at > fl_now() - 1 && f->node.jobs_at < fl_now());
+	assert_int_equal(HASH_COUNT(f->node.books.finals), 1);
+	assert_int_equal(send_report(f, report(1, 20, EPOCH, NULL, 0), NULL), 200);
+	/* This node itself has not read since it started. */
+	f->node.jobs_at = old;
+	f->node.jobs_known = false;
+	gossip(f, 0, a, 0.1);
+	gossip(f, 1, b, 0.1);
+	assert_true(f->node.jobs_at <= old);
+	tear_down((void **)&a);
+	tear_down((void **)&b);
+}
+
+/* Relayed on two ways, only the second answer reached the worker, and it had nothing to say. */
+static void a_report_that_comes_twice_is_answered_with_the_stop_twice(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_part p = running(0, 1);
+	cJSON *v = cancelled_record(f, 1);
+
+	hear(f, report(1, 1, EPOCH, NULL, 0), FL_WAY_REPORT);
+	p.attempt = place(f, 0)->attempt;
+	assert_non_null(fl_books_apply(&f->node.books, f->job->ref, v, 9));
+	cJSON_Delete(v);
+	for (int i = 0; i < 2; i++) {
+		assert_int_equal(send_report(f, report(1, 2, EPOCH, &p, 1), NULL), 200);
+		assert_int_equal(kills_in_answer, 1);
+	}
+}
+
 struct waiting_report {
 	struct fixture *f;
 	struct fl_report r;
@@ -927,6 +1058,9 @@
 		T(a_keeper_keeps_the_newest_report),
 		T(what_was_cancelled_is_not_kept_past_its_time),
 		T(what_came_up_during_a_wait_counts),
+		T(what_one_controller_knows_another_learns),
+		T(what_all_controllers_know_is_as_good_as_a_read),
+		T(a_report_that_comes_twice_is_answered_with_the_stop_twice),
 		T(a_new_leader_does_not_keep_it_either),
 		T(a_leader_hears_of_a_cancellation_from_the_record),
 		T(a_cancellation_keeps_its_age_across_a_takeover),
