--- a/src/transport/http.c
+++ b/src/transport/http.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <limits.h>
+#include <math.h>
 #include <netinet/tcp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -139,8 +140,11 @@
 		}
 		if (n < 0)
 			return -ECONNRESET;
-		if (n > 0)
+		if (n > 0 && !m->started) {
 			m->started = true;
+			if (m->rest_s > 0)
+				until = fmin(until, fl_now() + m->rest_s);
+		}
 		done = http_parser_execute(&m->parser, &callbacks, chunk, (size_t)n);
 		if (m->too_large)
 			return -EMSGSIZE;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -20,6 +20,7 @@
 	http_parser parser;
 	struct fl_buf url, body;
 	size_t max_body;
+	double rest_s; /* s for the rest, once a message has begun; 0: as long as for all of it */
 	bool complete, too_large, started;
 	bool keep_alive;
 };
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -14,8 +14,9 @@
 	double write_s;  /* s; users wait 2 to 5 s, so a longer write helps nobody */
 	size_t max_body; /* bytes; the protocol's limit */
 	double pause_s;  /* s; wait after a failed accept, so that it does not spin */
+	double rest_s;   /* s for the rest of a request; no caller waits longer for its answer */
 	int nearly;      /* part (one in so many) of the connections that is for one answer each */
-} choice = {5.0, 64 * 1024, 0.05, 32};
+} choice = {5.0, 64 * 1024, 0.05, 4.0, 32};
 
 struct fl_http_server {
 	int fd;
@@ -70,35 +71,60 @@
 	return fl_routines_behind() && recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+/*
+ * Why a request cannot be served, or NULL. All is said with 400: users try again whatever they are
+ * told otherwise, and this will not become better. A request that its length does not fit is one
+ * too, when its caller has closed or sends no more; a caller that sent nothing is owed nothing.
+ */
+static const char *broken(const struct fl_msg *msg, int rc)
+{
+	switch (rc) {
+	case -EMSGSIZE:
+		return "{\"error\":\"body over 64 KiB\"}";
+	case -EPROTO:
+		return "{\"error\":\"not HTTP/1.1\"}";
+	case -ECONNRESET:
+	case -ETIMEDOUT:
+		return msg->started ? "{\"error\":\"shorter than its length\"}" : NULL;
+	default:
+		return NULL;
+	}
+}
+
+static void refuse_broken(int fd, const char *why, bool drain)
+{
+	struct fl_response resp = {.status = 400, .body = (char *)why};
+
+	send_response(fd, &resp, false);
+	/* Let the answer reach a peer that is still writing its body. */
+	shutdown(fd, SHUT_WR);
+	for (int i = 0; i < 200 && drain; i++) {
+		char sink[8192];
+		ssize_t n = recv(fd, sink, sizeof(sink), 0);
+
+		if (n == 0 || (n < 0 && errno != EAGAIN))
+			break;
+		if (n < 0 && fl_wait_io(fd, EV_READ, 1.0) != 0)
+			break;
+	}
+}
+
 static bool serve_one(struct conn *c)
 {
 	struct fl_request req = {0};
 	struct fl_response resp = {.status = 500};
 	struct fl_msg msg;
+	const char *why;
 	bool keep = false;
 	char *query;
 	int rc;
 
 	fl_msg_init(&msg, HTTP_REQUEST, choice.max_body);
+	msg.rest_s = choice.rest_s;
 	rc = fl_msg_read(&msg, c->fd, c->server->idle_s);
-	if (rc == -EMSGSIZE || rc == -EPROTO) {
-		resp.status = rc == -EMSGSIZE ? 413 : 400;
-		resp.body = strdup(rc == -EMSGSIZE ? "{\"error\":\"body over 64 KiB\"}"
-		                                   : "{\"error\":\"not HTTP/1.1\"}");
-		send_response(c->fd, &resp, false);
-		/* Let the answer reach a peer that is still writing its body. */
-		shutdown(c->fd, SHUT_WR);
-		for (int i = 0; i < 200 && rc == -EMSGSIZE; i++) {
-			char sink[8192];
-			ssize_t n = recv(c->fd, sink, sizeof(sink), 0);
-
-			if (n == 0 || (n < 0 && errno != EAGAIN))
-				break;
-			if (n < 0 && fl_wait_io(c->fd, EV_READ, 1.0) != 0)
-				break;
-		}
-		goto out;
-	}
+	why = broken(&msg, rc);
+	if (why)
+		refuse_broken(c->fd, why, rc == -EMSGSIZE);
 	if (rc || caller_has_gone(c->fd))
 		goto out;
 	query = strchr(msg.url.data ? msg.url.data : "", '?');
