Malformed messages: a report without tasks, a list without its end, no UTF-8

A report that lacks its tasks said that none were there, and they would have started again. A list without More passed for a whole one. An escaped NUL ended a name early, and bytes that are no UTF-8 went on to the state service. A relayed call is taken apart by what it is, and what cannot be read is logged.

--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -387,6 +387,7 @@
 	struct fl_report r;
 
 	if (fl_report_decode(body, len, &r) != 0) {
+		fl_error("workers", "what came by %s is no report", via && via[0] ? via : "a peer");
 		fl_refuse(resp, 400, "not a report");
 		return;
 	}
@@ -444,6 +445,7 @@
 	struct fl_gossip g;
 
 	if (fl_gossip_decode(body, len, &g) != 0) {
+		fl_error("peers", "no gossip of a peer can be read in what came as such");
 		fl_refuse(resp, 400, "not gossip");
 		return;
 	}
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -32,8 +32,10 @@
 	cJSON_ArrayForEach (e, fl_digest_reports(ch->value)) {
 		struct fl_report r;
 
-		if (fl_kept_decode(e, &r) != 0)
+		if (fl_kept_decode(e, &r) != 0) {
+			fl_error("keeper", "%s holds what is no report", ch->key);
 			continue;
+		}
 		/* Heard of, but not to be reached: it is alive, and gets no new task. */
 		fl_reconcile_report(n, &r, NULL, FL_WAY_HEARSAY);
 		fl_report_free(&r);
--- a/src/protocol/cloud.c
+++ b/src/protocol/cloud.c
@@ -225,7 +225,8 @@
 			break;
 		(*n)++;
 	}
-	fl_json_bool(o, "More", more);
+	if (!rc && fl_json_bool(o, "More", more) != FL_FIELD_OK)
+		rc = -EPROTO;
 	if (rc) {
 		free(*out);
 		*out = NULL;
--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -18,6 +18,9 @@
 		char c = s[i];
 
 		if (in_string) {
+			/* cJSON ends the string at an escaped NUL, and another value is read. */
+			if (len - i >= 6 && memcmp(s + i, "\\u0000", 6) == 0)
+				return false;
 			if (c == '\\')
 				i++;
 			else if (c == '"')
@@ -34,10 +37,42 @@
 	return true;
 }
 
+/* How many bytes the character at `s` has; 0 if it is none, or could be written shorter. */
+static size_t utf8_char(const unsigned char *s, size_t len)
+{
+	size_t n = s[0] < 0x80 ? 1 : s[0] < 0xe0 ? 2 : s[0] < 0xf0 ? 3 : 4;
+
+	if (n == 1)
+		return 1;
+	if (s[0] < 0xc2 || s[0] > 0xf4 || n > len)
+		return 0;
+	for (size_t i = 1; i < n; i++)
+		if ((s[i] & 0xc0) != 0x80)
+			return 0;
+	if ((s[0] == 0xe0 && s[1] < 0xa0) || (s[0] == 0xed && s[1] > 0x9f) ||
+	    (s[0] == 0xf0 && s[1] < 0x90) || (s[0] == 0xf4 && s[1] > 0x8f))
+		return 0;
+	return n;
+}
+
+/*
+ * cJSON passes any bytes on, but JSON is UTF-8: a name that is not would be accepted here and
+ * refused by the state service, each time its user tries.
+ */
+static bool utf8(const char *s, size_t len)
+{
+	for (size_t i = 0, n; i < len; i += n) {
+		n = utf8_char((const unsigned char *)s + i, len - i);
+		if (n == 0)
+			return false;
+	}
+	return true;
+}
+
 cJSON *fl_json_parse(const char *text, size_t len)
 {
 	/* An embedded NUL would end the text early and hide what follows. */
-	if (memchr(text, 0, len) || !shallow(text, len))
+	if (!text || memchr(text, 0, len) || !shallow(text, len) || !utf8(text, len))
 		return NULL;
 	return cJSON_ParseWithLengthOpts(text, len + 1, NULL, 1);
 }
--- a/src/protocol/peers.c
+++ b/src/protocol/peers.c
@@ -50,6 +50,14 @@
 	return fl_json_take(o);
 }
 
+/* Only what a node relays; nothing else may come by this way, and no id of another form. */
+static bool relayable(uint64_t call, const char *ref, const cJSON *body)
+{
+	if (call == FL_CALL_SUBMIT || call == FL_CALL_REPORT)
+		return cJSON_IsString(body) && !ref[0];
+	return (call == FL_CALL_POLL || call == FL_CALL_CANCEL) && !body && fl_ref_ok(ref);
+}
+
 int fl_relay_decode(const char *text, size_t len, struct fl_relay *out)
 {
 	const cJSON *body;
@@ -58,12 +66,12 @@
 	memset(out, 0, sizeof(*out));
 	out->tree = fl_json_parse(text, len);
 	body = fl_json_get(out->tree, "body");
-	if (fl_json_count(out->tree, "call", &call) != FL_FIELD_OK || call > FL_CALL_REPORT ||
+	if (fl_json_count(out->tree, "call", &call) != FL_FIELD_OK ||
 	    fl_json_bool(out->tree, "last_hop", &out->last_hop) != FL_FIELD_OK ||
 	    fl_json_bool(out->tree, "adrift", &out->adrift) == FL_FIELD_BAD ||
 	    fl_json_str(out->tree, "ref", out->ref, sizeof(out->ref)) == FL_FIELD_BAD ||
 	    fl_json_str(out->tree, "via", out->via, sizeof(out->via)) == FL_FIELD_BAD ||
-	    (body && !cJSON_IsString(body))) {
+	    !relayable(call, out->ref, body)) {
 		fl_relay_free(out);
 		return -EPROTO;
 	}
--- a/src/protocol/state.c
+++ b/src/protocol/state.c
@@ -130,8 +130,9 @@
 		if (!rc) {
 			items = fl_json_get(o, "Items");
 			more = false;
-			fl_json_bool(o, "More", &more);
+			/* A list cut short would pass for a whole one. */
 			if (!cJSON_IsArray(items) ||
+			    fl_json_bool(o, "More", &more) != FL_FIELD_OK ||
 			    fl_json_count(o, "LedgerRev", &at) != FL_FIELD_OK)
 				rc = -EPROTO;
 			else
--- a/src/protocol/users.c
+++ b/src/protocol/users.c
@@ -55,7 +55,9 @@
 		return false;
 	out->n_host_kinds = 0;
 	cJSON_ArrayForEach (e, v) {
-		if (!cJSON_IsString(e) || strlen(e->valuestring) >= FL_NAME_MAX)
+		/* Control characters would be escaped sixfold, and the record outgrow its key. */
+		if (!cJSON_IsString(e) || strlen(e->valuestring) >= FL_NAME_MAX ||
+		    !name_ok(e->valuestring))
 			return false;
 		strcpy(out->host_kinds[out->n_host_kinds++], e->valuestring);
 	}
@@ -120,7 +122,7 @@
 	if (!get_kinds(o, out))
 		return "HostKinds";
 	f = fl_json_str(o, "Site", out->site, sizeof(out->site));
-	if (f == FL_FIELD_BAD)
+	if (f == FL_FIELD_BAD || (f == FL_FIELD_OK && !name_ok(out->site)))
 		return "Site";
 	out->has_site = f == FL_FIELD_OK;
 	if (fl_json_bool(o, "Together", &out->together) != FL_FIELD_OK)
--- a/src/protocol/workers.c
+++ b/src/protocol/workers.c
@@ -100,9 +100,8 @@
 	f = fl_json_amount(o, "ReclaimInS", &out->reclaim_in_s);
 	if (f != FL_FIELD_OK)
 		out->reclaim_in_s = -1;
-	if (list && !cJSON_IsArray(list))
-		return -EPROTO;
-	return list ? decode_parts(list, out) : 0;
+	/* Without its tasks a report would say that none is there, and each would start again. */
+	return cJSON_IsArray(list) ? decode_parts(list, out) : -EPROTO;
 }
 
 int fl_report_decode(const char *body, size_t len, struct fl_report *out)
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -93,6 +93,9 @@
 		{"Owner", ""},
 		{"Vcpus", "null"},
 		{"Site", "3"},
+		{"Site", "\"\""},
+		{"HostKinds", "[\"g8\",\"\"]"},
+		{"HostKinds", "[\"g8\",\"a\\u0001\"]"},
 	};
 
 	(void)state;
@@ -114,9 +117,10 @@
 }
 
 /* Guards the small stacks of routines: cJSON recurses once a level. */
-static void deep_nesting_is_refused(void **state)
+static void what_is_no_good_json_is_refused(void **state)
 {
 	char text[4001];
+	cJSON *o;
 
 	(void)state;
 	memset(text, '[', 2000);
@@ -126,6 +130,15 @@
 	assert_null(fl_json_parse("{}\0{}", 5));
 	assert_null(fl_json_parse("{} x", 4));
 	assert_null(fl_json_parse("", 0));
+	assert_null(fl_json_parse(NULL, 0));
+	/* An escaped NUL ends a string early just so; bytes that are no UTF-8 are no JSON. */
+	assert_null(fl_json_parse("[\"\\u0000\"]", 10));
+	assert_null(fl_json_parse("[\"\xff\"]", 5));
+	assert_null(fl_json_parse("[\"\xc0\xaf\"]", 6));
+	assert_null(fl_json_parse("[\"\xe2\x82\"]", 6));
+	o = fl_json_parse("[\"\xe2\x82\xac\\\\u0000\"]", 14);
+	assert_non_null(o);
+	cJSON_Delete(o);
 }
 
 static void reports_are_read_and_bad_ones_refused(void **state)
@@ -146,6 +159,9 @@
 		"{\"Host\":\"m-1\",\"Endpoint\":\"\",\"HostKind\":\"g\",\"Site\":\"a\","
 		"\"Reclaimable\":false,\"Tenure\":1,\"Serial\":1,\"Epoch\":1,"
 		"\"Parts\":[{\"Part\":\"run-000001/100000\",\"Try\":1,\"Status\":\"running\"}]}",
+		/* It would say that nothing is on the machine. */
+		"{\"Host\":\"m-1\",\"Endpoint\":\"\",\"HostKind\":\"g\",\"Site\":\"a\","
+		"\"Reclaimable\":false,\"Tenure\":1,\"Serial\":1,\"Epoch\":1}",
 	};
 	struct fl_report r;
 
@@ -191,7 +207,14 @@
 
 static void a_relayed_call_says_where_it_came_in(void **state)
 {
-	static const char bad[] = "{\"call\":1,\"last_hop\":true,\"via\":7}";
+	static const char *const bad[] = {
+		"{\"call\":5,\"last_hop\":true,\"via\":7,\"body\":\"{}\"}",
+		"{\"call\":5,\"last_hop\":true}",
+		"{\"call\":1,\"last_hop\":true}",
+		"{\"call\":2,\"last_hop\":true,\"ref\":\"run-000001 x\"}",
+		"{\"call\":3,\"last_hop\":true}",
+		"{\"call\":4,\"last_hop\":true}",
+	};
 	char *text = fl_relay_encode(FL_CALL_REPORT, true, true, NULL, "host-3", "{}");
 	struct fl_relay r;
 
@@ -203,7 +226,8 @@
 	assert_string_equal(r.body, "{}");
 	fl_relay_free(&r);
 	free(text);
-	assert_int_not_equal(fl_relay_decode(bad, strlen(bad), &r), 0);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		assert_int_not_equal(fl_relay_decode(bad[i], strlen(bad[i]), &r), 0);
 }
 
 static void paths_are_taken_apart(void **state)
@@ -229,7 +253,7 @@
 		cmocka_unit_test(a_good_run_is_read_and_written_back),
 		cmocka_unit_test(a_bad_field_is_named),
 		cmocka_unit_test(null_equals_missing),
-		cmocka_unit_test(deep_nesting_is_refused),
+		cmocka_unit_test(what_is_no_good_json_is_refused),
 		cmocka_unit_test(reports_are_read_and_bad_ones_refused),
 		cmocka_unit_test(machine_types_survive_their_record),
 		cmocka_unit_test(a_relayed_call_says_where_it_came_in),
