A job record that names another job, zone or state decides nothing

Any final word but done passed for cancelled, a zone that is not known for any zone, and a job of an unknown team was skipped by a takeover, which then deleted its progress as left behind.

--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -65,8 +65,10 @@
 {
 	struct fl_job *j = fl_job_find(b, run->ref);
 	int owner = fl_teams_find(&b->teams, run->owner);
+	int site = run->has_site ? fl_names_find(&b->zones, run->site) : -1;
 
-	if (j || owner < 0)
+	/* A zone that is not known must not pass for any zone. */
+	if (j || owner < 0 || (run->has_site && site < 0))
 		return j;
 	j = calloc(1, sizeof(*j));
 	if (!j)
@@ -75,7 +77,7 @@
 	j->job_class = fl_names_add(&b->classes, run->job_class);
 	j->bundle = fl_names_add(&b->bundles, run->bundle);
 	j->owner = owner;
-	j->site = run->has_site ? fl_names_find(&b->zones, run->site) : -1;
+	j->site = site;
 	j->kind = run->kind;
 	j->tier = run->tier;
 	j->parts = run->parts;
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "transport/clock.h"
+#include "transport/log.h"
 
 void fl_key_job(char key[FL_KEY_MAX], const char *ref)
 {
@@ -97,27 +98,42 @@
 	out->reclaimable = job->reclaimable;
 }
 
-int fl_job_record_decode(const cJSON *v, struct fl_job_record *out)
+static int decode_final(const cJSON *v, const char *word, struct fl_job_record *out)
 {
-	char word[16];
 	uint64_t parts;
 
+	if (strcmp(word, fl_status_name(FL_DONE)) == 0)
+		out->status = FL_DONE;
+	else if (strcmp(word, fl_status_name(FL_ABORTED)) == 0)
+		out->status = FL_ABORTED;
+	else
+		return -EPROTO;
+	if (fl_json_count(v, "parts", &parts) != FL_FIELD_OK || parts > FL_PARTS_MAX)
+		return -EPROTO;
+	out->parts = (uint32_t)parts;
+	return fl_json_amount(v, "cancelled", &out->cancelled) == FL_FIELD_BAD ? -EPROTO : 0;
+}
+
+int fl_job_record_decode(const cJSON *v, const char *ref, struct fl_job_record *out)
+{
+	enum fl_field final;
+	char word[16];
+
 	memset(out, 0, sizeof(*out));
-	if (fl_json_str(v, "final", word, sizeof(word)) == FL_FIELD_OK) {
-		out->final = true;
-		out->status = strcmp(word, fl_status_name(FL_DONE)) == 0 ? FL_DONE : FL_ABORTED;
-		if (fl_json_count(v, "parts", &parts) != FL_FIELD_OK || parts > FL_PARTS_MAX)
-			return -EPROTO;
-		out->parts = (uint32_t)parts;
-		out->has_run = fl_json_get(v, "Ref") && fl_run_decode(v, &out->run) == NULL;
-		fl_json_amount(v, "submitted", &out->submitted);
-		fl_json_amount(v, "cancelled", &out->cancelled);
+	final = fl_json_str(v, "final", word, sizeof(word));
+	if (final == FL_FIELD_BAD)
+		return -EPROTO;
+	out->final = final == FL_FIELD_OK;
+	if (out->final && decode_final(v, word, out) != 0)
+		return -EPROTO;
+	/* One that is cancelled and cannot be read has tasks that nobody would count or stop. */
+	out->has_run = !out->final || fl_json_get(v, "Ref");
+	if (!out->has_run)
 		return 0;
-	}
-	if (fl_run_decode(v, &out->run) != NULL)
+	if (fl_run_decode(v, &out->run) != NULL || strcmp(out->run.ref, ref) != 0)
 		return -EPROTO;
-	out->has_run = true;
-	out->parts = out->run.parts;
+	if (!out->final)
+		out->parts = out->run.parts;
 	return fl_json_amount(v, "submitted", &out->submitted) == FL_FIELD_OK ? 0 : -EPROTO;
 }
 
@@ -131,11 +147,11 @@
 	fl_key_job(key, ref);
 	rc = fl_state_get(s, key, v, rev, NULL);
 	if (rc != -ENOENT)
-		return rc ? rc : fl_job_record_decode(*v, rec);
+		return rc ? rc : fl_job_record_decode(*v, ref, rec);
 	fl_key_final(key, ref);
 	rc = fl_state_get(s, key, &final, rev, NULL);
 	if (!rc)
-		rc = fl_job_record_decode(final, rec);
+		rc = fl_job_record_decode(final, ref, rec);
 	cJSON_Delete(final);
 	return rc;
 }
@@ -194,11 +210,15 @@
 		return NULL;
 	if (job && rev <= job->rev)
 		return job;
-	if (fl_job_record_decode(value, &rec) != 0)
+	if (fl_job_record_decode(value, ref, &rec) != 0) {
+		fl_error("jobs", "the record of %s cannot be read", ref);
 		return NULL;
+	}
 	if (!rec.final) {
 		if (!job)
 			job = fl_job_add(b, &rec.run, rec.submitted, rev);
+		if (!job)
+			fl_error("jobs", "the record of %s names what is unknown here", ref);
 		if (job && !b->leading)
 			job->listed = true;
 		return job;
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -46,7 +46,8 @@
 /* A job that its user has cancelled and whose tasks have still to go. */
 cJSON *fl_job_record_cancelled(const struct fl_run *run, double submitted, double cancelled);
 void fl_job_describe(const struct fl_books *b, const struct fl_job *job, struct fl_run *out);
-int fl_job_record_decode(const cJSON *v, struct fl_job_record *out);
+/* Of the job with this id; -EPROTO if any of it cannot be read. */
+int fl_job_record_decode(const cJSON *v, const char *ref, struct fl_job_record *out);
 /*
  * Takes a change of a job record into the books; returns the live job, if it is one. A deletion
  * (no value) means that the job is over: only a leader keeps it, to finish what it is doing. One
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -25,28 +25,30 @@
 	struct fl_job_record rec;
 	struct fl_job *job;
 
-	if (!ch->value || fl_job_record_decode(ch->value, &rec) != 0) {
+	if (strlen(ref) >= FL_REF_MAX || !ch->value ||
+	    fl_job_record_decode(ch->value, ref, &rec) != 0) {
+		fl_error("takeover", "%s: cannot be read", ch->key);
 		l->bad++;
 		return;
 	}
-	if (!rec.final) {
+	if (rec.has_run) {
 		job = fl_job_add(b, &rec.run, rec.submitted, ch->rev);
-		if (job) {
-			job->rev = ch->rev;
-			job->listed = true;
+		if (!job) {
+			/* Its progress would pass for left behind, and be deleted. */
+			fl_error("takeover", "%s: names what is unknown here", ch->key);
+			l->bad++;
+			return;
 		}
-		return;
+		job->rev = ch->rev;
+		job->listed = true;
 	}
+	if (!rec.final)
+		return;
 	/* A cancelled job whose tasks may still be about stays, to be stopped and counted. */
 	if (rec.has_run) {
-		job = fl_job_add(b, &rec.run, rec.submitted, ch->rev);
-		if (job) {
-			job->rev = ch->rev;
-			job->listed = true;
-			job->aborted = true;
-			/* Each new leader counting anew, one that leads briefly stops nothing. */
-			job->aborted_at = fl_since(rec.cancelled);
-		}
+		job->aborted = true;
+		/* Each new leader counting anew, one that leads briefly stops nothing. */
+		job->aborted_at = fl_since(rec.cancelled);
 	}
 	fl_final_add(b, ref, rec.status, rec.parts, fl_since(rec.cancelled));
 }
--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -554,7 +554,7 @@
 
 	f->job->unsure = true;
 	v = cancelled_record(f, 3);
-	assert_int_equal(fl_job_record_decode(v, &rec), 0);
+	assert_int_equal(fl_job_record_decode(v, f->job->ref, &rec), 0);
 	fl_record_heard(&f->node, f->job, &rec, 9);
 	assert_true(f->job->aborted && !f->job->unsure && f->job->rev == 9);
 	/* Or while it still loads its books, and its lease may be another's already. */
@@ -577,7 +577,7 @@
 	cJSON *v;
 
 	v = cancelled_record(f, 20);
-	assert_int_equal(fl_job_record_decode(v, &rec), 0);
+	assert_int_equal(fl_job_record_decode(v, f->job->ref, &rec), 0);
 	cJSON_Delete(v);
 	assert_true(rec.final && rec.has_run && rec.status == FL_ABORTED);
 	assert_true(fabs(fl_since(rec.cancelled) - (fl_now() - 20)) < 1);
