One verdict on a submission wherever it is asked, zones and zero sizes included

A node that the state service refused answered 503 to what others refuse for good; now the leader is asked whether the id is known. A type offered in no known zone, a task of no size, and half a service or ensemble that Apart leaves without a zone are 422. What is relayed is what was read: a large body, escaped once more, was over 64 KiB for the leader.

--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -52,39 +52,82 @@
 
 /* ---- submissions ---- */
 
+/* A bit for each zone where an allowed machine type that a task fits is offered. */
+static uint32_t zones_for(const struct fl_node *n, const struct fl_run *r)
+{
+	uint32_t zones = 0;
+
+	for (int i = 0; i < n->books.machines.n_kinds; i++) {
+		const struct fl_kind *k = &n->books.machines.kinds[i];
+		bool named = r->n_host_kinds < 0;
+
+		for (int h = 0; h < r->n_host_kinds && !named; h++)
+			named = strcmp(r->host_kinds[h], k->name) == 0;
+		if (named && r->cpus <= k->cpus && r->gpus <= k->gpus && r->ram_gb <= k->ram_gb)
+			zones |= k->zones;
+	}
+	return zones;
+}
+
 /* NULL, or why the job can never run. */
 static const char *never(const struct fl_node *n, const struct fl_run *r)
 {
-	int team = fl_teams_find(&n->books.teams, r->owner), zone = -1;
+	int team = fl_teams_find(&n->books.teams, r->owner), zone;
+	bool at_once = r->kind != FL_SWEEP && r->parts > 1;
+	double tasks = at_once ? r->parts : 1;
+	uint32_t zones = zones_for(n, r);
 	const struct fl_team *t;
-	double tasks = r->kind == FL_SWEEP ? 1 : r->parts;
-	bool fits = false;
 
 	if (team < 0)
 		return "Owner: unknown team";
+	if (r->cpus <= 0 && r->gpus <= 0 && r->ram_gb <= 0)
+		return "a task takes nothing of its machine";
 	if (r->has_site) {
 		zone = fl_names_find(&n->books.zones, r->site);
 		if (zone < 0)
 			return "Site: unknown zone";
+		zones &= 1u << zone;
 	}
-	for (int i = 0; i < n->books.machines.n_kinds && !fits; i++) {
-		const struct fl_kind *k = &n->books.machines.kinds[i];
-		bool named = r->n_host_kinds < 0;
-
-		for (int h = 0; h < r->n_host_kinds && !named; h++)
-			named = strcmp(r->host_kinds[h], k->name) == 0;
-		fits = named && r->cpus <= k->cpus && r->gpus <= k->gpus &&
-		       r->ram_gb <= k->ram_gb && (zone < 0 || (k->zones >> zone & 1));
-	}
-	if (!fits)
+	/* A type that is offered in no zone of ours cannot be rented. */
+	if (!zones)
 		return "a task fits no allowed machine type";
+	/* An array's tasks can run one after the other; others would lack half of theirs for ever.
+	 */
+	if (at_once && r->apart && (r->together || !(zones & (zones - 1))))
+		return "Apart: half of the tasks fit no allowed machine type";
 	t = &n->books.teams.at[team];
 	if (!fl_team_within_max(t, r->cpus * tasks, r->gpus * tasks))
 		return "more than the team's limit";
 	return NULL;
 }
 
-/* 1: known, and answered; 0: not known; <0: cannot be told now. */
+static bool state_is_down(const struct fl_node *n)
+{
+	return fl_state_in_doubt(&n->state) && fl_now() - n->state.last_refusal < choice.down_s;
+}
+
+/* Likewise, by the leader. */
+static int known_to_leader(struct fl_node *n, const char *ref, struct fl_response *resp)
+{
+	struct fl_reply reply;
+
+	if (fl_lease_valid(n) ||
+	    fl_relay(n, FL_CALL_POLL, ref, NULL, NULL, FL_FIRST_HOP, choice.relay_s, &reply) != 0)
+		return -EAGAIN;
+	if (reply.status == 200) {
+		resp->status = 200;
+		resp->body = reply.body.data;
+		return 1;
+	}
+	fl_buf_free(&reply.body);
+	return reply.status == 404 ? 0 : -EAGAIN;
+}
+
+/*
+ * 1: known, and answered; 0: not known; <0: cannot be told now. What the state service refuses to
+ * this node alone the leader can tell: else a bad submission would be told to come again, here
+ * only, and its user would do so for a minute.
+ */
 static int answer_known(struct fl_node *n, const char *ref, enum fl_hop hop,
                         struct fl_response *resp)
 {
@@ -94,8 +137,10 @@
 	int rc;
 
 	if (!fl_final_find(&n->books, ref) && !fl_job_find(&n->books, ref)) {
-		rc = fl_ledger_read(&n->state, ref, &rec, &v, &rev);
+		rc = state_is_down(n) ? -EAGAIN : fl_ledger_read(&n->state, ref, &rec, &v, &rev);
 		cJSON_Delete(v);
+		if (rc && rc != -ENOENT && !hop)
+			return known_to_leader(n, ref, resp);
 		if (rc)
 			return rc == -ENOENT ? 0 : rc;
 	}
@@ -132,18 +177,23 @@
 	return 0;
 }
 
-static bool state_is_down(const struct fl_node *n)
-{
-	return fl_state_in_doubt(&n->state) && fl_now() - n->state.last_refusal < choice.down_s;
-}
-
-/* The state service may refuse this node alone, or be cut from it: the leader has it. */
-static bool submit_by_leader(struct fl_node *n, const char *body, struct fl_response *resp)
+/*
+ * The state service may refuse this node alone, or be cut from it: the leader has it. What was
+ * read is sent, and not the body: a large one, escaped once more, would be over 64 KiB.
+ */
+static bool submit_by_leader(struct fl_node *n, const struct fl_run *run, struct fl_response *resp)
 {
 	struct fl_reply reply;
+	char *text;
+	int rc;
 
-	if (fl_lease_valid(n) || fl_relay(n, FL_CALL_SUBMIT, NULL, NULL, body, FL_FIRST_HOP,
-	                                  choice.relay_write_s, &reply) != 0)
+	if (fl_lease_valid(n))
+		return false;
+	text = fl_json_take(fl_run_encode(run));
+	rc = fl_relay(n, FL_CALL_SUBMIT, NULL, NULL, text, FL_FIRST_HOP, choice.relay_write_s,
+	              &reply);
+	free(text);
+	if (rc != 0)
 		return false;
 	if (reply.status == 200 || reply.status == 201) {
 		resp->status = reply.status;
@@ -185,24 +235,28 @@
 		rc = answer_known(n, run.ref, hop, resp);
 		if (rc == 1)
 			return;
-		if (rc < 0 || !bad)
+		if (rc < 0 || !bad) {
 			fl_later(resp, "cannot decide yet");
-		else
+		} else {
 			fl_refuse(resp, 400, "%s: missing or invalid", bad);
+			fl_info("jobs", "%s refused: %s", run.ref, bad);
+		}
 		return;
 	}
 	why = never(n, &run);
 	if (why) {
 		rc = answer_known(n, run.ref, hop, resp);
-		if (rc == 0)
-			fl_refuse(resp, 422, "%s", why);
-		else if (rc < 0)
+		if (rc < 0) {
 			fl_later(resp, "cannot decide yet");
+		} else if (rc == 0) {
+			fl_refuse(resp, 422, "%s", why);
+			fl_info("jobs", "%s refused: %s", run.ref, why);
+		}
 		return;
 	}
 	/* A cut is silent: to try here first would cost the user a second. */
 	relayed_first = !hop && fl_state_in_doubt(&n->state);
-	if (relayed_first && submit_by_leader(n, body, resp))
+	if (relayed_first && submit_by_leader(n, &run, resp))
 		return;
 	rc = state_is_down(n) ? -EAGAIN : store_job(n, &run);
 	if (rc == 0) {
@@ -214,7 +268,7 @@
 	}
 	if (rc == -ESTALE && answer_known(n, run.ref, hop, resp) == 1)
 		return;
-	if (rc != -ESTALE && !hop && !relayed_first && submit_by_leader(n, body, resp))
+	if (rc != -ESTALE && !hop && !relayed_first && submit_by_leader(n, &run, resp))
 		return;
 	fl_later(resp, "the job could not be stored");
 }
@@ -372,6 +426,7 @@
 		return;
 	}
 	if (fl_relay_decode(req->body, req->body_len, &r) != 0) {
+		fl_error("peers", "what came as a relayed call is none");
 		fl_refuse(resp, 400, "not a relayed call");
 		return;
 	}
--- /dev/null
+++ b/tests/test_submit.c
@@ -0,0 +1,352 @@
+/*
+ * What is not accepted: one node between a state service and a leader that are stand-ins of a few
+ * lines each. The verdict on a submission must not depend on what the node can reach, and a record
+ * that cannot be read decides nothing.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bookkeeping/ledger.h"
+#include "coordination/node.h"
+#include "coordination/takeover.h"
+#include "transport/clock.h"
+#include "transport/http_server.h"
+#include "transport/routine.h"
+
+struct fixture {
+	struct fl_node node;
+	struct fl_config config;
+	struct fl_http_server *state, *leader;
+	bool refused;       /* by the state service, this node alone */
+	bool known;         /* the job was accepted before */
+	const char *record; /* the only job record there is, of run-000001 */
+	bool no_more;       /* a list does not say whether there is more of it */
+	int writes;
+	int ref;
+	char failed[400];
+};
+
+/* Fields given twice: the first one counts. */
+#define RECORD(fields) "{" fields ",\"Ref\":\"run-000001\",\"submitted\":5," BASE "}"
+#define BASE                                                                                       \
+	"\"JobClass\":\"c\",\"Owner\":\"t\",\"JobKind\":\"sweep\",\"Tier\":\"standard\","          \
+	"\"Parts\":4,\"Vcpus\":1,\"Accelerators\":0,\"RamGb\":1,\"Bundle\":\"i\",\"ImageGb\":1,"   \
+	"\"Together\":false,\"Apart\":false,\"Reclaimable\":true,\"ExpectedS\":1,"                 \
+	"\"SnapshotEveryS\":0,\"SnapshotCostS\":0"
+
+static void on_state(void *ctx, const struct fl_request *req, struct fl_response *resp)
+{
+	struct fixture *f = ctx;
+	struct fl_buf b = {0};
+
+	resp->status = 503;
+	if (f->refused)
+		return;
+	resp->status = 200;
+	if (strcmp(req->path, "/multi") == 0) {
+		f->writes++;
+		fl_buf_printf(&b, "{\"LedgerRev\":9}");
+	} else if (strcmp(req->path, "/keys") == 0) {
+		if (f->record && strstr(req->query, "Prefix=" FL_PREFIX_JOBS))
+			fl_buf_printf(&b,
+			              "{\"Items\":[{\"Key\":\"j/run-000001\",\"V\":%s,"
+			              "\"KeyRev\":3}],\"More\":false,\"LedgerRev\":9}",
+			              f->record);
+		else
+			fl_buf_printf(&b, "{\"Items\":[],%s\"LedgerRev\":9}",
+			              f->no_more ? "" : "\"More\":false,");
+	} else if (f->known && strncmp(req->path, "/keys/f/", 8) == 0) {
+		fl_buf_printf(&b, "{\"V\":{\"final\":\"done\",\"parts\":4},\"KeyRev\":3}");
+	} else {
+		resp->status = 404;
+	}
+	resp->body = b.data;
+}
+
+static void on_leader(void *ctx, const struct fl_request *req, struct fl_response *resp)
+{
+	struct fixture *f = ctx;
+	struct fl_run run;
+	struct fl_relay r;
+	cJSON *o;
+
+	resp->status = 400;
+	if (fl_relay_decode(req->body, req->body_len, &r) != 0)
+		return;
+	if (r.call == FL_CALL_SUBMIT) {
+		o = fl_json_parse(r.body, strlen(r.body));
+		resp->status = fl_run_decode(o, &run) ? 400 : 201;
+		cJSON_Delete(o);
+	} else {
+		resp->status = f->known ? 200 : 404;
+	}
+	resp->body = strdup("{\"Status\":\"done\"}");
+	fl_relay_free(&r);
+}
+
+static void connect_to(struct fl_http_client *c, const struct fl_http_server *s)
+{
+	char addr[32];
+
+	snprintf(addr, sizeof(addr), "127.0.0.1:%d", fl_http_server_port(s));
+	assert_int_equal(fl_http_client_init(c, addr, 1), 0);
+}
+
+static int set_up(void **state)
+{
+	struct fl_host_kind kinds[] = {
+		{.name = "both", .cpus = 8, .ram_gb = 64, .sites = {"a", "b"}, .n_sites = 2},
+		{.name = "one", .cpus = 96, .ram_gb = 64, .sites = {"a"}, .n_sites = 1},
+		{.name = "elsewhere", .cpus = 900, .ram_gb = 64, .sites = {"y"}, .n_sites = 1},
+	};
+	struct fixture *f = calloc(1, sizeof(*f));
+	struct fl_node *n = &f->node;
+
+	fl_routines_init(ev_default_loop(0));
+	n->config = &f->config;
+	strcpy(f->config.node, "n0");
+	f->config.lease_s = 10;
+	f->config.cancel_s = 40;
+	fl_names_add(&n->books.zones, "a");
+	fl_names_add(&n->books.zones, "b");
+	fl_kinds_set(&n->books.machines, &n->books.zones, kinds, 3);
+	strcpy(n->books.teams.at[0].name, "t");
+	n->books.teams.at[0].cpus_max = 100;
+	n->books.teams.n = 1;
+	f->state = fl_http_serve("127.0.0.1:0", 16, 90, on_state, f);
+	f->leader = fl_http_serve("127.0.0.1:0", 16, 90, on_leader, f);
+	assert_true(f->state && f->leader);
+	connect_to(&n->state.http, f->state);
+	n->state.last_ok = n->proof_at = n->jobs_at = fl_now();
+	n->state.last_refusal = -1e9;
+	n->kinds_known = n->jobs_known = true;
+	strcpy(n->leader, "n1");
+	n->n_peers = 1;
+	strcpy(n->peers[0].name, "n1");
+	n->peers[0].up = true;
+	connect_to(&n->peers[0].http, f->leader);
+	*state = f;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	struct fixture *f = *state;
+
+	fl_http_client_close(&f->node.state.http);
+	fl_http_client_close(&f->node.peers[0].http);
+	fl_routines_shutdown();
+	fl_books_free(&f->node.books);
+	free(f->state);
+	free(f->leader);
+	free(f);
+	return 0;
+}
+
+static int submit(struct fixture *f, const char *fields, int *retry_after)
+{
+	struct fl_response resp = {.status = 500};
+	struct fl_buf b = {0};
+
+	fl_buf_printf(&b, "{%s%s\"Ref\":\"run-%06d\",%s}", fields, *fields ? "," : "", ++f->ref,
+	              BASE);
+	fl_node_user_call(&f->node, FL_CALL_SUBMIT, "", b.data, b.len, FL_FIRST_HOP, &resp);
+	fl_buf_free(&b);
+	free(resp.body);
+	if (retry_after)
+		*retry_after = resp.retry_after_s;
+	return resp.status;
+}
+
+static void expect(struct fixture *f, const char *fields, int want, const char *where)
+{
+	int got = submit(f, fields, NULL);
+
+	if (got != want && !f->failed[0])
+		snprintf(f->failed, sizeof(f->failed), "%d instead of %d, %s: %.200s", got, want,
+		         where, fields);
+}
+
+static const struct {
+	const char *fields;
+	int status;
+	bool unreadable; /* not even the Ref: 400 though it may be known */
+} cases[] = {
+	{"", 201, false},
+	{"\"Parts\":null", 400, false},
+	{"\"Parts\":0", 400, false},
+	{"\"Parts\":100001", 400, false},
+	{"\"Tier\":\"high\"", 400, false},
+	{"\"Owner\":\"\"", 400, false},
+	{"\"Vcpus\":-1", 400, false},
+	{"\"RamGb\":1e999", 400, false},
+	{"\"Site\":\"\"", 400, false},
+	{"\"HostKinds\":[\"both\",\"\"]", 400, false},
+	{"\"JobClass\":\"c\\u0000d\"", 400, true},
+	{"\"Bundle\":\"\xc3(\"", 400, true},
+	{"\"Owner\":\"nobody\"", 422, false},
+	{"\"Site\":\"z\"", 422, false},
+	{"\"HostKinds\":[]", 422, false},
+	{"\"HostKinds\":[\"none\"]", 422, false},
+	{"\"HostKinds\":[\"none\",\"both\"]", 201, false},
+	{"\"Vcpus\":1000", 422, false},
+	{"\"Vcpus\":0,\"RamGb\":0", 422, false},
+	/* Offered in zone a only, and in no zone that is known. */
+	{"\"Vcpus\":50", 201, false},
+	{"\"Vcpus\":50,\"Site\":\"b\"", 422, false},
+	{"\"Vcpus\":50,\"HostKinds\":[\"both\"]", 422, false},
+	{"\"Vcpus\":99", 422, false},
+	/* The limit: one task of an array, all of the others. */
+	{"\"Parts\":101", 201, false},
+	{"\"Parts\":101,\"JobKind\":\"standing\"", 422, false},
+	{"\"Parts\":101,\"JobKind\":\"ensemble\"", 422, false},
+	/* Zones that half of a service or an ensemble can never get. */
+	{"\"Apart\":true,\"JobKind\":\"standing\"", 201, false},
+	{"\"Apart\":true,\"JobKind\":\"standing\",\"Site\":\"a\"", 422, false},
+	{"\"Apart\":true,\"JobKind\":\"ensemble\",\"Together\":true", 422, false},
+	{"\"Apart\":true,\"JobKind\":\"standing\",\"Parts\":2,\"Vcpus\":50", 422, false},
+	{"\"Apart\":true,\"JobKind\":\"standing\",\"Parts\":1,\"Vcpus\":50", 201, false},
+	{"\"Apart\":true,\"Vcpus\":50,\"Together\":true", 201, false},
+};
+
+enum { CASES = sizeof(cases) / sizeof(cases[0]) };
+
+static void judge(void *arg)
+{
+	struct fixture *f = arg;
+	int retry_after;
+	char *large;
+
+	for (int i = 0; i < CASES; i++)
+		expect(f, cases[i].fields, cases[i].status, "all is well");
+	f->refused = true;
+	for (int i = 0; i < CASES; i++)
+		expect(f, cases[i].fields, cases[i].status, "refused by the state service");
+	/* What the leader gets is what was read: this, escaped once more, would be too large. */
+	large = malloc(50001);
+	memset(large, ' ', 50000);
+	for (int i = 0; i < 20000; i++)
+		memcpy(large + 2 * i, "\n ", 2);
+	memcpy(large, "\"Later\":", 8);
+	memcpy(large + 49990, "[7]", 3);
+	large[50000] = 0;
+	expect(f, large, 201, "large");
+	free(large);
+	/* A repeat gets the job's state, whatever its body says. */
+	f->known = true;
+	for (int refused = 0; refused < 2; refused++) {
+		f->refused = refused;
+		for (int i = 0; i < CASES; i++)
+			if (cases[i].status != 201)
+				expect(f, cases[i].fields, cases[i].unreadable ? 400 : 200,
+				       "known");
+	}
+	/* Nobody can tell: neither accepted nor refused. */
+	f->known = false;
+	f->refused = true;
+	f->node.peers[0].up = false;
+	f->node.n_peers = 0;
+	for (int i = 0; i < CASES; i++)
+		if (!cases[i].unreadable)
+			expect(f, cases[i].fields, 503, "nobody can tell");
+	f->refused = f->node.kinds_known = false;
+	if (submit(f, "", &retry_after) != 503 || retry_after <= 0)
+		strcpy(f->failed, "machine types unknown");
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+static void a_verdict_is_the_same_wherever_it_is_asked(void **state)
+{
+	struct fixture *f = *state;
+
+	fl_spawn(judge, f);
+	fl_routines_run();
+	if (f->failed[0])
+		fail_msg("%s", f->failed);
+}
+
+static const char *const bad_records[] = {
+	"{}",
+	RECORD("\"Parts\":0"),
+	RECORD("\"Ref\":\"run-000002\""),
+	RECORD("\"Owner\":\"nobody\""),
+	RECORD("\"Site\":\"z\""),
+	RECORD("\"final\":7"),
+	RECORD("\"final\":\"over\",\"parts\":4"),
+	RECORD("\"final\":\"aborted\",\"parts\":4,\"Tier\":\"high\""),
+	"{\"final\":\"aborted\"}",
+};
+
+static void take_over(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->node.lease.held = true;
+	f->record = RECORD("\"Apart\":true");
+	if (fl_takeover_load(&f->node) != 0 || !fl_job_find(&f->node.books, "run-000001"))
+		strcpy(f->failed, "a good record is not read");
+	f->no_more = true;
+	if (fl_takeover_load(&f->node) == 0)
+		strcpy(f->failed, "half a list passes for a whole one");
+	f->no_more = false;
+	for (size_t i = 0; i < sizeof(bad_records) / sizeof(bad_records[0]); i++) {
+		f->record = bad_records[i];
+		fl_books_free(&f->node.books);
+		f->node.books.jobs = NULL;
+		f->node.books.finals = NULL;
+		fl_names_add(&f->node.books.zones, "a");
+		if ((fl_takeover_load(&f->node) != -EPROTO || f->node.books.finals) &&
+		    !f->failed[0])
+			snprintf(f->failed, sizeof(f->failed), "is decided by: %s", f->record);
+	}
+	if (f->writes)
+		strcpy(f->failed, "something is written");
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+static void a_new_leader_decides_nothing_over_a_bad_record(void **state)
+{
+	struct fixture *f = *state;
+
+	fl_spawn(take_over, f);
+	fl_routines_run();
+	if (f->failed[0])
+		fail_msg("%s", f->failed);
+}
+
+/* Nor does a node that hears of it in its watch: it neither runs nor is over. */
+static void a_follower_takes_in_no_bad_record(void **state)
+{
+	struct fixture *f = *state;
+
+	for (size_t i = 0; i < sizeof(bad_records) / sizeof(bad_records[0]); i++) {
+		cJSON *v = fl_json_parse(bad_records[i], strlen(bad_records[i]));
+
+		assert_non_null(v);
+		assert_null(fl_books_apply(&f->node.books, "run-000001", v, 4));
+		assert_null(f->node.books.jobs);
+		assert_null(f->node.books.finals);
+		cJSON_Delete(v);
+	}
+}
+
+#define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		T(a_verdict_is_the_same_wherever_it_is_asked),
+		T(a_new_leader_decides_nothing_over_a_bad_record),
+		T(a_follower_takes_in_no_bad_record),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
