--- a/tests/test_hearing.c
+++ b/tests/test_hearing.c
@@ -685,7 +685,7 @@
 
 	f->job->unsure = true;
 	v = cancelled_record(f, 3);
-	assert_int_equal(fl_job_record_decode(v, &rec), 0);
+	assert_int_equal(fl_job_record_decode(v, f->job->ref, &rec), 0);
 	fl_record_heard(&f->node, f->job, &rec, 9);
 	assert_true(f->job->aborted && !f->job->unsure && f->job->rev == 9);
 	/* Or while it still loads its books, and its lease may be another's already. */
@@ -708,7 +708,7 @@
 	cJSON *v;
 
 	v = cancelled_record(f, 20);
-	assert_int_equal(fl_job_record_decode(v, &rec), 0);
+	assert_int_equal(fl_job_record_decode(v, f->job->ref, &rec), 0);
 	cJSON_Delete(v);
 	assert_true(rec.final && rec.has_run && rec.status == FL_ABORTED);
 	assert_true(fabs(fl_since(rec.cancelled) - (fl_now() - 20)) < 1);
@@ -894,6 +894,10 @@
 	resp = call(f, FL_CALL_POLL, "run-000050", NULL);
 	assert_int_equal(resp.status, 200);
 	free(resp.body);
+	resp = call(f, FL_CALL_CANCEL, "run-000050", NULL);
+	assert_int_equal(resp.status, 200);
+	assert_non_null(strstr(resp.body, "\"done\""));
+	free(resp.body);
 	/* Back, it is as before. */
 	f->node.peers[0].up = true;
 	f->node.state.last_ok = fl_now() + 1;
