A new leader finishes jobs whose last task the one before had recorded as done

Cause: the record of a job's last task was written, the leader ended, and the job's own record still said that it lives. The next leader read all its tasks as done, and a job is looked at for its final state only when something of it changes: it stayed pending for ever. Ruled out: lost placements, deaf machines, backoff.

a_new_leader_finishes_what_is_over fails without it.

--- a/src/bookkeeping/jobs.c
+++ b/src/bookkeeping/jobs.c
@@ -218,11 +218,8 @@
 	return t->gen <= c->saved_gen;
 }
 
-void fl_task_touch(struct fl_books *b, struct fl_job *job, uint32_t index)
+void fl_job_mark_dirty(struct fl_books *b, struct fl_job *job)
 {
-	struct fl_chunk *c = job->chunks[index / FL_CHUNK];
-
-	c->task[index % FL_CHUNK].gen = ++c->gen;
 	if (job->queued_dirty)
 		return;
 	job->queued_dirty = true;
@@ -230,6 +227,19 @@
 	b->dirty = job;
 }
 
+bool fl_job_is_over(const struct fl_job *job)
+{
+	return job->aborted ? job->n_placed == 0 : job->n_done == job->parts;
+}
+
+void fl_task_touch(struct fl_books *b, struct fl_job *job, uint32_t index)
+{
+	struct fl_chunk *c = job->chunks[index / FL_CHUNK];
+
+	c->task[index % FL_CHUNK].gen = ++c->gen;
+	fl_job_mark_dirty(b, job);
+}
+
 uint32_t fl_task_next_waiting(struct fl_job *job, uint32_t from, double now)
 {
 	uint32_t i = from > job->scan_from ? from : job->scan_from;
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -124,6 +124,10 @@
 bool fl_task_durable(const struct fl_job *job, uint32_t index);
 /* Does the record hold its last change? */
 bool fl_task_saved(const struct fl_chunk *c, const struct fl_task *t);
+/* Something of the job is to be written: a chunk's changes or, when it is over, its final state. */
+void fl_job_mark_dirty(struct fl_books *b, struct fl_job *job);
+/* All its tasks are done; or it is cancelled, and none may be on a machine any more. */
+bool fl_job_is_over(const struct fl_job *job);
 /* Marks the chunk as changed and the job as dirty. */
 void fl_task_touch(struct fl_books *b, struct fl_job *job, uint32_t index);
 /* Next WAITING task at or after `from` that may start at `now`; parts if none. */
--- a/src/coordination/command.c
+++ b/src/coordination/command.c
@@ -100,11 +100,7 @@
 			}
 		}
 	}
-	if (!job->queued_dirty) {
-		job->queued_dirty = true;
-		job->next_dirty = n->books.dirty;
-		n->books.dirty = job;
-	}
+	fl_job_mark_dirty(&n->books, job);
 	fl_signal_wake(&n->lead.dirty);
 	fl_signal_wake(&n->lead.work);
 }
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -79,7 +79,6 @@
 	struct fl_node *n = arg;
 	double rate = n->config->state_write_rps * choice.write_share;
 	uint64_t grant = n->lease.grant;
-	struct fl_job *job, *tmp;
 	int rc = fl_takeover_load(n);
 
 	n->lead.loading = false;
@@ -99,10 +98,6 @@
 	duty(n, fl_command_enforce_duty);
 	fl_provision_begin(n);
 	duty(n, fl_provision_duty);
-	/* What was cancelled and has nothing running any more is over, and nothing else says so. */
-	HASH_ITER (hh, n->books.jobs, job, tmp)
-		if (job->aborted)
-			fl_command_stop_job(n, job);
 }
 
 void fl_leader_begin(struct fl_node *n)
--- a/src/coordination/record.c
+++ b/src/coordination/record.c
@@ -85,11 +85,6 @@
 	return 0;
 }
 
-static bool is_over(const struct fl_job *job)
-{
-	return job->aborted ? job->n_placed == 0 : job->n_done == job->parts;
-}
-
 static bool has_record(const struct fl_chunk *c) { return c && (c->rev != 0 || c->rev_unknown); }
 
 /* Writes the final state and removes the progress records, all at once if they are few. */
@@ -110,7 +105,7 @@
 		fl_job_finalise(&n->books, job, status);
 		return 0;
 	}
-	if (!is_over(job))
+	if (!fl_job_is_over(job))
 		return 0;
 	status = job->aborted ? FL_ABORTED : FL_DONE;
 	fl_multi_init(&m);
@@ -403,7 +398,7 @@
 
 			dirty = c && c->gen > c->saved_gen;
 		}
-		if (dirty || is_over(job)) {
+		if (dirty || fl_job_is_over(job)) {
 			at = &job->next_dirty;
 		} else {
 			*at = job->next_dirty;
@@ -473,7 +468,7 @@
 	for (job = n->books.dirty; job; job = next) {
 		/* Only this routine takes jobs off the list, so the next one stays on it. */
 		next = job->next_dirty;
-		if (!is_over(job))
+		if (!fl_job_is_over(job))
 			continue;
 		rc = finalise(n, job);
 		if (rc == 0 || rc == -ECANCELED || !fl_leading(n))
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -142,8 +142,16 @@
 		fl_error("takeover", "%d records cannot be read", l.bad);
 		return -EPROTO;
 	}
-	HASH_ITER (hh, n->books.jobs, job, tmp)
+	HASH_ITER (hh, n->books.jobs, job, tmp) {
 		jobs++;
+		/*
+		 * Found when all controllers ended again and again: the leader before had recorded
+		 * the last task as done and not yet the job. No task of it changes any more, so
+		 * nothing else would ever have it finished.
+		 */
+		if (fl_job_is_over(job))
+			fl_job_mark_dirty(&n->books, job);
+	}
 	fl_info("takeover", "%d jobs, %d progress records, %d left over; took %.2f s", jobs,
 	        l.chunks, l.orphans, fl_now() - l.now);
 	return 0;
--- a/tests/test_submit.c
+++ b/tests/test_submit.c
@@ -25,10 +25,11 @@
 	struct fl_node node;
 	struct fl_config config;
 	struct fl_http_server *state, *leader;
-	bool refused;       /* by the state service, this node alone */
-	bool known;         /* the job was accepted before */
-	const char *record; /* the only job record there is, of run-000001 */
-	bool no_more;       /* a list does not say whether there is more of it */
+	bool refused;         /* by the state service, this node alone */
+	bool known;           /* the job was accepted before */
+	const char *record;   /* the only job record there is, of run-000001 */
+	const char *progress; /* and that of its progress */
+	bool no_more;         /* a list does not say whether there is more of it */
 	int writes;
 	int ref;
 	char failed[400];
@@ -60,6 +61,11 @@
 			              "{\"Items\":[{\"Key\":\"j/run-000001\",\"V\":%s,"
 			              "\"KeyRev\":3}],\"More\":false,\"LedgerRev\":9}",
 			              f->record);
+		else if (f->progress && strstr(req->query, "Prefix=" FL_PREFIX_PROGRESS))
+			fl_buf_printf(&b,
+			              "{\"Items\":[{\"Key\":\"p/run-000001/0\",\"V\":%s,"
+			              "\"KeyRev\":4}],\"More\":false,\"LedgerRev\":9}",
+			              f->progress);
 		else
 			fl_buf_printf(&b, "{\"Items\":[],%s\"LedgerRev\":9}",
 			              f->no_more ? "" : "\"More\":false,");
@@ -356,6 +362,48 @@
 	}
 }
 
+/* Loads one job with this progress; is its final state to be written? */
+static bool is_to_be_finished(struct fixture *f, const char *record, const char *progress)
+{
+	f->record = record;
+	f->progress = progress;
+	if (fl_takeover_load(&f->node) != 0)
+		strcpy(f->failed, "a good record is not read");
+	return f->node.books.dirty &&
+	       f->node.books.dirty == fl_job_find(&f->node.books, "run-000001");
+}
+
+static void take_over_what_is_over(void *arg)
+{
+	static const char cancelled[] = RECORD("\"final\":\"aborted\",\"parts\":4,\"cancelled\":5");
+	struct fixture *f = arg;
+
+	f->node.lease.held = true;
+	if (is_to_be_finished(f, RECORD("\"Apart\":true"), "{\"d\":[[0,2]]}"))
+		strcpy(f->failed, "one task is still to run");
+	if (!is_to_be_finished(f, RECORD("\"Apart\":true"), "{\"d\":[[0,3]]}"))
+		strcpy(f->failed, "all its tasks are done");
+	if (!is_to_be_finished(f, cancelled, "{\"d\":[[0,2]]}"))
+		strcpy(f->failed, "it is cancelled, and nothing of it is anywhere");
+	if (is_to_be_finished(f, cancelled, "{\"m\":[[0,1,\"m-1\",1,5]]}"))
+		strcpy(f->failed, "it is cancelled, and a task may still be about");
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+/*
+ * The leader before ended between the record of the last task and that of the job. Nothing of the
+ * job changes any more: found as a job that stayed pending for ever with all its tasks done.
+ */
+static void a_new_leader_finishes_what_is_over(void **state)
+{
+	struct fixture *f = *state;
+
+	fl_spawn(take_over_what_is_over, f);
+	fl_routines_run();
+	if (f->failed[0])
+		fail_msg("%s", f->failed);
+}
+
 #define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -364,6 +412,7 @@
 		T(a_verdict_is_the_same_wherever_it_is_asked),
 		T(a_new_leader_decides_nothing_over_a_bad_record),
 		T(a_follower_takes_in_no_bad_record),
+		T(a_new_leader_finishes_what_is_over),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
