Polls share reads of the records and leave the state service room for the rest

Cause: without a leader each poll reads the records, two or three requests; with 580 jobs that is many times the 70 a second that the state service takes.

--- a/src/coordination/answer.c
+++ b/src/coordination/answer.c
@@ -38,7 +38,7 @@
 	struct fl_job *job;
 	uint64_t rev;
 	cJSON *v = NULL;
-	int rc = fl_ledger_read(&n->state, ref, &rec, &v, &rev);
+	int rc = fl_inquire(n, ref, &rec, &v, &rev);
 	const struct fl_final *f = fl_final_find(&n->books, ref);
 
 	if (f) {
--- /dev/null
+++ b/src/coordination/inquiry.c
@@ -0,0 +1,120 @@
+#include "coordination/inquiry.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/node.h"
+#include "transport/clock.h"
+
+static const struct {
+	double share;   /* of the state service's requests, for the polls of all controllers */
+	double burst_s; /* s of that share that may be asked at once */
+	double reads;   /* requests of one look at the records: the live one, then the final one */
+	double patience_s; /* s that a question waits for another's read; users wait 2 s */
+} choice = {0.4, 2.0, 2, 1.8};
+
+void fl_inquiries_init(struct fl_node *n)
+{
+	double rate = n->config->state_rps * choice.share / (n->n_peers + 1);
+
+	fl_budget_init(&n->poll_reads, rate, rate * choice.burst_s, fl_now());
+}
+
+/*
+ * Found with 580 jobs and no leader for a moment: each poll read the records, 185 a second against
+ * the 70 requests that the state service takes. The new leader's own reads were refused, and it was
+ * 14 s before it led. Beyond their share polls are told to come again, at once.
+ */
+bool fl_inquiry_affords(struct fl_node *n, double requests)
+{
+	return fl_budget_take(&n->poll_reads, requests, fl_now()) <= 0;
+}
+
+static struct fl_inquiry *create(const char *ref)
+{
+	struct fl_inquiry *q = calloc(1, sizeof(*q));
+
+	if (q)
+		strcpy(q->ref, ref);
+	return q;
+}
+
+static void let_go(struct fl_inquiry *q)
+{
+	if (--q->users > 0)
+		return;
+	cJSON_Delete(q->v);
+	free(q);
+}
+
+/* From here on it is being asked: who comes later waits for the next. */
+static void enter(struct fl_node *n, struct fl_inquiry *q)
+{
+	HASH_ADD_STR(n->inquiries, ref, q);
+	q->users++;
+}
+
+static void read_records(struct fl_node *n, struct fl_inquiry *q)
+{
+	q->rc = fl_inquiry_affords(n, choice.reads)
+	                ? fl_ledger_read(&n->state, q->ref, &q->rec, &q->v, &q->rev)
+	                : -EAGAIN;
+	HASH_DEL(n->inquiries, q);
+	if (q->next)
+		enter(n, q->next);
+	q->over = true;
+	fl_signal_wake(&q->done);
+	let_go(q);
+}
+
+/* The first of those that came after the sending reads for all of them. */
+static void read_after(struct fl_node *n, struct fl_inquiry *before, struct fl_inquiry *q)
+{
+	before->next = q;
+	before->users++;
+	while (!before->over && fl_signal_wait(&before->done, choice.patience_s) == 0)
+		;
+	if (before->over) {
+		read_records(n, q);
+	} else {
+		before->next = NULL;
+		q->rc = -EAGAIN;
+		q->over = true;
+		fl_signal_wake(&q->done);
+	}
+	let_go(before);
+}
+
+int fl_inquire(struct fl_node *n, const char *ref, struct fl_job_record *rec, cJSON **v,
+               uint64_t *rev)
+{
+	struct fl_inquiry *q, *sent;
+	int rc;
+
+	*v = NULL;
+	HASH_FIND_STR(n->inquiries, ref, sent);
+	q = sent && sent->next ? sent->next : create(ref);
+	if (!q)
+		return -ENOMEM;
+	q->users++;
+	if (!sent) {
+		enter(n, q);
+		read_records(n, q);
+	} else if (!sent->next) {
+		read_after(n, sent, q);
+	} else {
+		while (!q->over && fl_signal_wait(&q->done, choice.patience_s) == 0)
+			;
+	}
+	rc = q->over ? q->rc : -EAGAIN;
+	if (!rc) {
+		*rec = q->rec;
+		*rev = q->rev;
+		*v = q->v ? cJSON_Duplicate(q->v, true) : NULL;
+		if (q->v && !*v)
+			rc = -ENOMEM;
+	}
+	let_go(q);
+	return rc;
+}
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -294,7 +294,7 @@
 	char key[FL_KEY_MAX];
 	uint64_t rev;
 	cJSON *v = NULL;
-	int rc = fl_ledger_read(&n->state, ref, &rec, &v, &rev);
+	int rc = fl_inquire(n, ref, &rec, &v, &rev);
 
 	/* What a user is told here, the other controllers must hear from here. */
 	if (rc == 0 && rec.final && v)
@@ -314,6 +314,10 @@
 			fl_status_encode(ref, rec.status, rec.status == FL_DONE ? rec.parts : 0, 0);
 		return;
 	}
+	if (!fl_inquiry_affords(n, 1)) {
+		fl_later(resp, "there are too many questions at the moment");
+		return;
+	}
 	snprintf(key, sizeof(key), FL_PREFIX_PROGRESS "%s/", ref);
 	fl_state_list(&n->state, key, count_progress, &p, &rev);
 	resp->status = 200;
@@ -572,6 +576,7 @@
 		if (fl_http_client_init(&p->http, c->peers[i].addr, choice.peer_conns) != 0)
 			return -EINVAL;
 	}
+	fl_inquiries_init(n);
 	if (fl_state_init(&n->state, c->state) != 0)
 		return -EINVAL;
 	return fl_http_client_init(&n->cloud.http, c->cloud, 2);
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -5,6 +5,7 @@
 #include "bookkeeping/jobs.h"
 #include "bookkeeping/ledger.h"
 #include "config.h"
+#include "coordination/inquiry.h"
 #include "coordination/keeper.h"
 #include "coordination/leader.h"
 #include "coordination/lease.h"
@@ -46,6 +47,8 @@
 	uint64_t epoch;
 	double proof_at;
 	struct fl_signal control_changed;
+	struct fl_inquiry *inquiries; /* by ref: reads under way for polls */
+	struct fl_budget poll_reads;
 	double probed_at; /* steady; when the users' balancer last asked for /ready */
 
 	struct fl_lease lease;
