--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -289,6 +289,14 @@
 		EXPECT(await_leader());
 	}
 	EXPECT(until_status("run-000005", "\"Status\":\"done\"", 0));
+	/*
+	 * What stood by may have done for all of it, and then no deaf machine was rented: it
+	 * happened once in sixty runs. More work at once than that can hold brings them.
+	 */
+	if (standins.deaf > 0) {
+		EXPECT(submit("run-000007", "sweep", 4 * standins.max_machines + 40, 0));
+		EXPECT(until_status("run-000007", "\"Status\":\"done\"", 0));
+	}
 	/* The troubles are over: every accepted job is known to every node, and done. */
 	standins.state_refuses = standins.state_slow = standins.state_loses = 0;
 	for (int step = 1; step <= 9; step++)
