--- /dev/null
+++ b/tests/world_cloud.c
@@ -0,0 +1,251 @@
+/* The cloud: machine types, rentals by name, deletion, and a list that lags. */
+#include "world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/json.h"
+#include "transport/clock.h"
+
+enum { RENTALS = 512, CAPACITY = 3 };
+static const double list_lag_s = 2.0;
+
+const struct world_host_kind world_kinds[WORLD_KINDS] = {
+	{"c32", 32, 0, 128, 4.0, 6},
+	{"g4", 32, 4, 256, 12.0, 8},
+};
+
+static struct {
+	struct rental {
+		char name[64];
+		int first, count;
+	} rental[RENTALS];
+	int n;
+} cl;
+
+static void say(struct fl_response *resp, int status, cJSON *o)
+{
+	resp->status = status;
+	resp->body = fl_json_take(o ? o : cJSON_CreateObject());
+}
+
+static void trouble(struct fl_response *resp, const char *why)
+{
+	cJSON *o = cJSON_CreateObject();
+
+	cJSON_AddStringToObject(o, "error", why);
+	say(resp, 503, o);
+}
+
+static void types(struct fl_response *resp)
+{
+	cJSON *o = cJSON_CreateObject(), *list = cJSON_AddArrayToObject(o, "HostKinds");
+
+	for (int i = 0; i < WORLD_KINDS; i++) {
+		const struct world_host_kind *k = &world_kinds[i];
+		cJSON *e = cJSON_CreateObject(), *sites;
+
+		cJSON_AddStringToObject(e, "Name", k->name);
+		cJSON_AddNumberToObject(e, "Vcpus", k->cpus);
+		cJSON_AddNumberToObject(e, "Accelerators", k->gpus);
+		cJSON_AddNumberToObject(e, "RamGb", k->ram_gb);
+		cJSON_AddNumberToObject(e, "LocalGb", 100);
+		cJSON_AddNumberToObject(e, "PullGbPerS", 1.0);
+		cJSON_AddNumberToObject(e, "Price", k->price);
+		cJSON_AddNumberToObject(e, "SpotPrice", k->price * 0.4);
+		cJSON_AddNumberToObject(e, "ReadyS", k->ready_s);
+		sites = cJSON_AddArrayToObject(e, "Sites");
+		for (int z = 0; z < world.n_zones; z++)
+			cJSON_AddItemToArray(sites, cJSON_CreateString(world.config[0].zones[z]));
+		cJSON_AddItemToArray(list, e);
+	}
+	say(resp, 200, o);
+}
+
+static int kind_of(const char *name)
+{
+	for (int i = 0; i < WORLD_KINDS; i++)
+		if (strcmp(world_kinds[i].name, name) == 0)
+			return i;
+	return -1;
+}
+
+static int zone_of(const char *name)
+{
+	for (int z = 0; z < world.n_zones; z++)
+		if (strcmp(world.config[0].zones[z], name) == 0)
+			return z;
+	return -1;
+}
+
+static int rented(int kind, int zone, bool spot)
+{
+	int n = 0;
+
+	for (int i = 0; i < world.n_machines; i++) {
+		const struct world_machine *m = &world.machine[i];
+
+		n += !m->gone && m->kind == kind && m->zone == zone && m->spot == spot;
+	}
+	return n;
+}
+
+static void rent_one(int kind, int zone, bool spot)
+{
+	struct world_machine *m = &world.machine[world.n_machines];
+
+	world_must(world.n_machines < WORLD_MACHINES);
+	memset(m, 0, sizeof(*m));
+	snprintf(m->name, sizeof(m->name), "m-%06d", world.n_machines + 1);
+	m->kind = kind;
+	m->zone = zone;
+	m->spot = spot;
+	m->rented = fl_now();
+	m->never_up = world_chance(0.04);
+	m->ready = fl_now() +
+	           (world_chance(0.1) ? 1 : world_between(0.6, 1.5)) * world_kinds[kind].ready_s;
+	if (spot && world_chance(0.15))
+		m->reclaim_at = fl_now() + world_between(30, 120);
+	world_worker_boot(world.n_machines++);
+}
+
+static void hosts_of(const struct rental *r, struct fl_response *resp)
+{
+	cJSON *o = cJSON_CreateObject(), *list = cJSON_AddArrayToObject(o, "Hosts");
+
+	for (int i = 0; i < r->count; i++)
+		cJSON_AddItemToArray(list, cJSON_CreateString(world.machine[r->first + i].name));
+	say(resp, 200, o);
+}
+
+static void rent(int process, const struct fl_request *req, struct fl_response *resp)
+{
+	cJSON *o = fl_json_parse(req->body, req->body_len);
+	char name[64] = "", kind[64] = "", site[64] = "";
+	double count = 0;
+	bool spot = false;
+	int k, z, room;
+
+	fl_json_str(o, "Rental", name, sizeof(name));
+	fl_json_str(o, "HostKind", kind, sizeof(kind));
+	fl_json_str(o, "Site", site, sizeof(site));
+	fl_json_bool(o, "Reclaimable", &spot);
+	fl_json_amount(o, "Count", &count);
+	cJSON_Delete(o);
+	k = kind_of(kind);
+	z = zone_of(site);
+	if (!name[0] || k < 0 || z < 0 || count < 1 || count > 50) {
+		say(resp, 400, NULL);
+		return;
+	}
+	world_check_rental(name, process);
+	for (int i = 0; i < cl.n; i++)
+		if (strcmp(cl.rental[i].name, name) == 0) {
+			hosts_of(&cl.rental[i], resp);
+			return;
+		}
+	room = CAPACITY - rented(k, z, spot);
+	if (room <= 0) {
+		trouble(resp, "no capacity");
+		return;
+	}
+	world_must(cl.n < RENTALS);
+	snprintf(cl.rental[cl.n].name, sizeof(cl.rental[0].name), "%s", name);
+	cl.rental[cl.n].first = world.n_machines;
+	cl.rental[cl.n].count = count < room ? (int)count : room;
+	for (int i = 0; i < cl.rental[cl.n].count; i++)
+		rent_one(k, z, spot);
+	hosts_of(&cl.rental[cl.n++], resp);
+}
+
+static int machine_of(const char *name)
+{
+	for (int i = 0; i < world.n_machines; i++)
+		if (strcmp(world.machine[i].name, name) == 0)
+			return i;
+	return -1;
+}
+
+static void give_back(const struct fl_request *req, struct fl_response *resp)
+{
+	cJSON *o = fl_json_parse(req->body, req->body_len), *e;
+
+	cJSON_ArrayForEach (e, fl_json_get(o, "Hosts")) {
+		int at = cJSON_IsString(e) ? machine_of(e->valuestring) : -1;
+
+		if (at >= 0) {
+			world.machine[at].failed = false;
+			world_machine_ends(at);
+		}
+	}
+	cJSON_Delete(o);
+	say(resp, 200, NULL);
+}
+
+/* At a moment past: once listed it stays so till it is gone. */
+static bool is_listed(struct world_machine *m, double then)
+{
+	if (m->failed)
+		return true;
+	if (m->gone && m->gone_at <= then)
+		return false;
+	if (m->rented > then && !m->listed)
+		return false;
+	m->listed = true;
+	return true;
+}
+
+static void list(const struct fl_request *req, struct fl_response *resp)
+{
+	double then = fl_now() - world_between(0, world_chance(0.1) ? 2 : 1) * list_lag_s;
+	cJSON *o = cJSON_CreateObject(), *hosts = cJSON_AddArrayToObject(o, "Hosts");
+	const char *from = strstr(req->query, "From=");
+
+	for (int i = 0; i < world.n_machines; i++) {
+		struct world_machine *m = &world.machine[i];
+		char addr[FL_CONFIG_NAME];
+		cJSON *e;
+
+		if (from && strncmp(m->name, from + 5, strlen(m->name)) <= 0)
+			continue;
+		if (!is_listed(m, then))
+			continue;
+		e = cJSON_CreateObject();
+		world_address((struct world_end){END_WORKER, i}, addr);
+		cJSON_AddStringToObject(e, "Ref", m->name);
+		cJSON_AddStringToObject(e, "Endpoint", addr);
+		cJSON_AddStringToObject(e, "HostKind", world_kinds[m->kind].name);
+		cJSON_AddStringToObject(e, "Site", world.config[0].zones[m->zone]);
+		cJSON_AddBoolToObject(e, "Reclaimable", m->spot);
+		cJSON_AddStringToObject(e, "Status",
+		                        m->failed                        ? "failed"
+		                        : m->never_up || m->ready > then ? "booting"
+		                                                         : "running");
+		cJSON_AddNumberToObject(e, "AgeS", then > m->rented ? then - m->rented : 0);
+		cJSON_AddItemToArray(hosts, e);
+	}
+	cJSON_AddBoolToObject(o, "More", false);
+	say(resp, 200, o);
+}
+
+void world_cloud_serve(struct world_end from, const struct fl_request *req,
+                       struct fl_response *resp)
+{
+	if (fl_sleep(world_between(0.01, 0.1)) != 0)
+		return;
+	if (world_troubled(CLOUD_OUT, -1))
+		trouble(resp, "trouble");
+	else if (strcmp(req->path, "/machine_types") == 0)
+		types(resp);
+	else if (strcmp(req->path, "/rentals") == 0 && req->method == HTTP_POST)
+		rent(world_node_process(from.at), req, resp);
+	else if (strcmp(req->path, "/rentals/delete") == 0)
+		give_back(req, resp);
+	else
+		list(req, resp);
+}
+
+void world_cloud_begin(void) {}
+
+void world_cloud_end(void) { memset(&cl, 0, sizeof(cl)); }
--- /dev/null
+++ b/tests/world_net.c
@@ -0,0 +1,319 @@
+/* The transport of the world: calls between hosts, and the controllers' processes. */
+#include "world.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/node.h"
+#include "coordination/record.h"
+#include "transport/clock.h"
+
+struct call {
+	struct world_end from, to;
+	int process; /* of the caller */
+	char *method, *path, *body;
+	struct fl_response resp;
+	int result;
+	bool done;
+	int refs;
+	struct fl_signal answered;
+	struct world_timer timer;
+};
+
+struct served {
+	fl_handler handler;
+	void *ctx;
+};
+
+static struct {
+	int process[WORLD_NODES]; /* that runs as this node; 0: down */
+	struct served face[WORLD_NODES][2];
+	int processes; /* started so far */
+	int starting;  /* the node that is being started */
+	bool over;
+} net;
+
+/* ---- addresses ---- */
+
+void world_address(struct world_end e, char out[FL_CONFIG_NAME])
+{
+	snprintf(out, FL_CONFIG_NAME, "10.%d.%d.%d:%d", e.kind + 1, e.at / 200, e.at % 200 + 1,
+	         9000);
+}
+
+static struct world_end end_of(const struct sockaddr_in *sa)
+{
+	uint32_t ip = ntohl(sa->sin_addr.s_addr);
+
+	return (struct world_end){(enum world_kind)((ip >> 16 & 255) - 1),
+	                          (int)(ip >> 8 & 255) * 200 + (int)(ip & 255) - 1};
+}
+
+int fl_http_client_init(struct fl_http_client *c, const char *addr, int max_idle)
+{
+	memset(c, 0, sizeof(*c));
+	c->max_idle = max_idle;
+	return fl_parse_addr(addr, &c->addr);
+}
+
+void fl_http_client_close(struct fl_http_client *c) { (void)c; }
+
+/* ---- calls ---- */
+
+static void release(struct call *c)
+{
+	if (--c->refs > 0)
+		return;
+	free(c->method);
+	free(c->path);
+	free(c->body);
+	free(c->resp.body);
+	free(c);
+}
+
+static void complete(struct call *c, int result)
+{
+	c->result = result;
+	c->done = true;
+	fl_signal_wake(&c->answered);
+	release(c);
+}
+
+/* The answer comes back, or is lost on its way. */
+static void deliver(void *arg)
+{
+	struct call *c = arg;
+
+	if (net.over || world_lost(c->from, c->to, true))
+		release(c);
+	else
+		complete(c, 0);
+}
+
+static void answer(struct call *c)
+{
+	c->timer.fn = deliver;
+	world_timer_arm(&c->timer, world_latency(c->to, c->from));
+}
+
+static enum http_method method_of(const char *name)
+{
+	return strcmp(name, "GET") == 0    ? HTTP_GET
+	       : strcmp(name, "POST") == 0 ? HTTP_POST
+	                                   : HTTP_DELETE;
+}
+
+static void dispatch(struct call *c, const struct fl_request *req)
+{
+	const struct served *s;
+
+	switch (c->to.kind) {
+	case END_STATE:
+		world_state_serve(c->from, req, &c->resp);
+		break;
+	case END_CLOUD:
+		world_cloud_serve(c->from, req, &c->resp);
+		break;
+	case END_WORKER:
+		world_worker_serve(c->from, c->process, c->to.at, req, &c->resp);
+		break;
+	default:
+		s = &net.face[c->to.at][c->to.kind == END_PEER];
+		s->handler(s->ctx, req, &c->resp);
+	}
+}
+
+static void serve(void *arg)
+{
+	struct call *c = arg;
+	char *query = strchr(c->path, '?');
+	struct fl_request req = {.method = method_of(c->method),
+	                         .path = c->path,
+	                         .query = query ? query + 1 : "",
+	                         .body = c->body,
+	                         .body_len = strlen(c->body)};
+
+	if (query)
+		*query = 0;
+	if (!fl_cancelled())
+		dispatch(c, &req);
+	if (net.over || c->resp.status == WORLD_SILENCE)
+		release(c);
+	else if (fl_cancelled())
+		complete(c, -ECONNRESET);
+	else
+		answer(c);
+}
+
+static bool is_up(struct world_end e)
+{
+	switch (e.kind) {
+	case END_NODE:
+	case END_PEER:
+		return net.process[e.at] != 0;
+	case END_WORKER:
+		return world.machine[e.at].up && !world.machine[e.at].gone;
+	default:
+		return true;
+	}
+}
+
+static void arrive(void *arg)
+{
+	struct call *c = arg;
+	bool node = c->to.kind == END_NODE || c->to.kind == END_PEER;
+
+	if (net.over) {
+		release(c);
+	} else if (world_holds(c->from, c->to)) {
+		/* Held back, and delivered when the link is there again. */
+		world_timer_arm(&c->timer, 0.2);
+	} else if (world_lost(c->from, c->to, false)) {
+		release(c);
+	} else if (!is_up(c->to)) {
+		complete(c, -ECONNREFUSED);
+	} else {
+		world_spawn(node ? net.process[c->to.at] : 0, serve, c);
+	}
+}
+
+int world_call(struct world_end from, struct world_end to, const char *method, const char *path,
+               const char *body, double timeout_s, struct fl_reply *out)
+{
+	struct call *c;
+	int rc;
+
+	memset(out, 0, sizeof(*out));
+	if (fl_cancelled())
+		return -ECANCELED;
+	c = calloc(1, sizeof(*c));
+	world_must(c != NULL);
+	c->from = from;
+	c->to = to;
+	c->process = world_process();
+	c->method = strdup(method);
+	c->path = strdup(path);
+	c->body = strdup(body ? body : "");
+	c->refs = 2;
+	c->timer.fn = arrive;
+	c->timer.arg = c;
+	world_timer_arm(&c->timer, world_latency(from, to));
+	rc = fl_signal_wait(&c->answered, timeout_s);
+	if (rc == 0)
+		rc = c->result;
+	if (rc == 0) {
+		out->status = c->resp.status;
+		out->body.data = c->resp.body ? c->resp.body : strdup("");
+		out->body.len = strlen(out->body.data);
+		c->resp.body = NULL;
+	}
+	release(c);
+	return rc;
+}
+
+int fl_http_call(struct fl_http_client *c, const char *method, const char *path, const char *body,
+                 double timeout_s, struct fl_reply *out)
+{
+	struct world_end from = {END_PEER, -1};
+
+	for (int i = 0; i < world.n_nodes; i++)
+		if (net.process[i] == world_process())
+			from.at = i;
+	if (from.at < 0) /* a process that has just been ended */
+		return -ECANCELED;
+	return world_call(from, end_of(&c->addr), method, path, body, timeout_s, out);
+}
+
+/* ---- controllers ---- */
+
+struct fl_http_server *fl_http_serve(const char *addr, int max_conns, double idle_s,
+                                     fl_handler handler, void *ctx)
+{
+	struct sockaddr_in sa;
+
+	(void)max_conns, (void)idle_s;
+	world_must(fl_parse_addr(addr, &sa) == 0);
+	net.face[net.starting][end_of(&sa).kind == END_PEER] = (struct served){handler, ctx};
+	return (struct fl_http_server *)&net;
+}
+
+bool world_node_alive(int node) { return net.process[node] != 0; }
+
+int world_node_process(int node) { return net.process[node]; }
+
+static void boot(void *arg)
+{
+	net.starting = *(const int *)arg;
+	world_must(fl_node_start(&world.config[net.starting]) == 0);
+}
+
+static int places[WORLD_NODES] = {0, 1, 2, 3, 4};
+
+void world_node_start(int node)
+{
+	if (net.process[node])
+		return;
+	net.process[node] = ++net.processes;
+	world_spawn(net.process[node], boot, &places[node]);
+}
+
+static void free_keeper(struct fl_keeper *k)
+{
+	struct fl_kept *kept, *tmp;
+	struct fl_guest *guest, *next;
+
+	HASH_ITER (hh, k->kept, kept, tmp) {
+		HASH_DEL(k->kept, kept);
+		free(kept->text);
+		free(kept);
+	}
+	HASH_ITER (hh, k->guests, guest, next) {
+		HASH_DEL(k->guests, guest);
+		free(guest);
+	}
+}
+
+static void free_node(int node)
+{
+	struct fl_node *n = net.face[node][0].ctx;
+
+	if (!n)
+		return;
+	fl_record_free_trash(n);
+	free_keeper(&n->keeper);
+	fl_books_free(&n->books);
+	free(n);
+	memset(net.face[node], 0, sizeof(net.face[node]));
+}
+
+void world_node_kill(int node)
+{
+	int process = net.process[node];
+
+	if (!process)
+		return;
+	net.process[node] = 0;
+	world_process_cancel(process);
+	fl_sleep(0);
+	world_must(fl_cancelled() || world_process_routines(process) == 0);
+	if (!fl_cancelled())
+		free_node(node);
+}
+
+static void drop(struct world_timer *t)
+{
+	if (t->fn == arrive || t->fn == deliver)
+		t->fn(t->arg);
+}
+
+void world_net_end(void)
+{
+	net.over = true;
+	world_time_end(drop);
+	for (int i = 0; i < WORLD_NODES; i++)
+		free_node(i);
+	memset(&net, 0, sizeof(net));
+}
