--- a/tests/world_troubles.c
+++ b/tests/world_troubles.c
@@ -273,6 +273,8 @@
 		return world_troubled(CUT_PEERS, from.at) || world_troubled(CUT_PEERS, to.at);
 	if (!node_and(from, to, END_WORKER, &node))
 		return false;
+	if (world_troubled(CUT_WORKERS, node))
+		return true;
 	t = world_troubled(LOST_ANSWERS, -1);
 	if (reply && t && world_chance(t->much))
 		return true;
