--- a/tests/world.h
+++ b/tests/world.h
@@ -196,6 +196,7 @@
 	struct fl_signal work, goes_on;
 	int node;
 	struct world_task task[WORLD_TASKS];
+	int n_tasks; /* places ever used */
 	char bundles[4][FL_NAME_MAX];
 	int n_bundles;
 };
--- a/tests/world_check.c
+++ b/tests/world_check.c
@@ -149,7 +149,7 @@
 		/* A machine that stands still ends its tasks before it goes on. */
 		bool lapsed = m->hung && fl_now() > m->lease_from + world.lease_s;
 
-		for (int k = 0; k < WORLD_TASKS && !m->gone && !lapsed; k++) {
+		for (int k = 0; k < m->n_tasks && !m->gone && !lapsed; k++) {
 			struct world_task *t = &m->task[k];
 
 			if (!t->used || !t->counted || !overdue(t->job) || t->job->said_overdue)
@@ -280,7 +280,7 @@
 
 	if (!m->up || m->gone || m->hung || m->reclaim_at > 0 || misplaced(job, m))
 		return false;
-	for (int i = 0; i < WORLD_TASKS; i++)
+	for (int i = 0; i < m->n_tasks; i++)
 		if (m->task[i].used && m->task[i].part.state != FL_ENDED) {
 			cpus += m->task[i].job->run.cpus;
 			gpus += m->task[i].job->run.gpus;
--- a/tests/world_troubles.c
+++ b/tests/world_troubles.c
@@ -57,7 +57,7 @@
 
 static bool has_tasks(const struct world_machine *m)
 {
-	for (int i = 0; i < WORLD_TASKS; i++)
+	for (int i = 0; i < m->n_tasks; i++)
 		if (m->task[i].counted && m->task[i].used)
 			return true;
 	return false;
--- a/tests/world_workers.c
+++ b/tests/world_workers.c
@@ -124,7 +124,7 @@
 {
 	if (fl_now() <= m->lease_from + world.lease_s)
 		return;
-	for (int i = 0; i < WORLD_TASKS; i++) {
+	for (int i = 0; i < m->n_tasks; i++) {
 		if (m->task[i].used)
 			leave(&m->task[i]);
 		m->task[i].used = false;
@@ -137,7 +137,7 @@
 static void tick(struct world_machine *m)
 {
 	lapse(m);
-	for (int i = 0; i < WORLD_TASKS; i++)
+	for (int i = 0; i < m->n_tasks; i++)
 		if (m->task[i].used)
 			look_at(m, &m->task[i]);
 	if (m->reclaim_at > 0 && fl_now() > m->reclaim_at)
@@ -160,7 +160,7 @@
 
 static struct world_task *find(struct world_machine *m, const struct fl_part *p, bool attempt)
 {
-	for (int i = 0; i < WORLD_TASKS; i++) {
+	for (int i = 0; i < m->n_tasks; i++) {
 		struct world_task *t = &m->task[i];
 
 		if (t->used && t->part.index == p->index && strcmp(t->part.ref, p->ref) == 0 &&
@@ -175,7 +175,7 @@
 	const struct world_host_kind *k = &world_kinds[m->kind];
 	double cpus = job->run.cpus, gpus = job->run.gpus, ram = job->run.ram_gb;
 
-	for (int i = 0; i < WORLD_TASKS; i++) {
+	for (int i = 0; i < m->n_tasks; i++) {
 		const struct world_task *t = &m->task[i];
 
 		if (!t->used || t->part.state == FL_ENDED)
@@ -191,6 +191,8 @@
 {
 	for (int i = 0; i < WORLD_TASKS; i++)
 		if (!m->task[i].used) {
+			if (i >= m->n_tasks)
+				m->n_tasks = i + 1;
 			m->task[i] = (struct world_task){.used = true, .part = *p};
 			return &m->task[i];
 		}
@@ -312,7 +314,7 @@
 	strcpy(r.site, world.config[0].zones[m->zone]);
 	if (m->reclaim_at > 0 && fl_now() > m->reclaim_at - rule.notice_s)
 		r.reclaim_in_s = m->reclaim_at > fl_now() ? m->reclaim_at - fl_now() : 0;
-	for (int i = 0; i < WORLD_TASKS; i++)
+	for (int i = 0; i < m->n_tasks; i++)
 		if (m->task[i].used)
 			parts[r.n_parts++] = m->task[i].part;
 	return fl_report_encode(&r);
@@ -520,7 +522,7 @@
 		return;
 	m->gone = true;
 	m->gone_at = fl_now();
-	for (int i = 0; i < WORLD_TASKS; i++) {
+	for (int i = 0; i < m->n_tasks; i++) {
 		if (m->task[i].used)
 			leave(&m->task[i]);
 		m->task[i].used = false;
@@ -540,7 +542,7 @@
 		m->hung_since = fl_now();
 		return;
 	}
-	for (int i = 0; i < WORLD_TASKS; i++) {
+	for (int i = 0; i < m->n_tasks; i++) {
 		struct world_task *t = &m->task[i];
 
 		if (!t->used)
