Tests: slow answers also after the deed, polls in a row, and 64 KiB as a report's bound

The bound of 256 entries a machine was the model's own and no rule; the protocol's limit of a request body takes its place. The most starts of one task are counted and printed.

--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -98,6 +98,30 @@
 
 /* ---- running ---- */
 
+static void describe(const struct world_job *job)
+{
+	const struct fl_run *r = &job->run;
+
+	print_message("  %s %s %s tier %d, %u x %g cpus %g gpus %g GB, %s%s%s%s%s, cancel %g, "
+	              "%d starts\n",
+	              r->ref, r->owner, r->kind == FL_STANDING ? "service" : "array", (int)r->tier,
+	              r->parts, r->cpus, r->gpus, r->ram_gb,
+	              r->n_host_kinds > 0 ? r->host_kinds[0] : "any", r->has_site ? " in " : "",
+	              r->has_site ? r->site : "", r->together ? " together" : "",
+	              r->apart ? " apart" : "", job->cancel, job->starts);
+}
+
+static void describe_troubles(void)
+{
+	for (int i = 0; i < world.n_troubles; i++) {
+		const struct world_trouble *t = &world.trouble[i];
+
+		print_message("  trouble %d at %.2f for %.2f s: whom %d, much %g, count %d, hang "
+		              "%g\n",
+		              (int)t->kind, t->at, t->for_s, t->whom, t->much, t->count, t->hang_s);
+	}
+}
+
 static void play(const struct meeting *m, int at)
 {
 	uint64_t seed = (uint64_t)at * 1000 + 7;
@@ -123,11 +147,16 @@
 	if (getenv("WORLD_VERBOSE") || world.failures > 0)
 		print_message("%s, seed %llu (variant %d): %d nodes, %d zones, lease %g, %.0f s, "
 		              "%d jobs, %d machines, %d starts, %d done, %d polls, %d late "
-		              "starts\n%s",
+		              "starts, %d of one task\n%s",
 		              m->name, (unsigned long long)seed, at, world.n_nodes, world.n_zones,
 		              world.lease_s, world.end_s, world.n_jobs, world.n_machines,
 		              world.starts, world.completions, world.polls, world.late_starts,
-		              world.report);
+		              world.most_starts, world.report);
+	if (getenv("WORLD_JOBS") || world.failures > 0) {
+		describe_troubles();
+		for (int i = 0; i < world.n_jobs; i++)
+			describe(&world.job[i]);
+	}
 	world_net_end();
 	world_state_end();
 	world_cloud_end();
@@ -401,8 +430,12 @@
 /* A cancellation, a question, a repeated submission at the end of a job's last task. */
 static void cancel_at_end(int variant)
 {
-	(void)variant;
-	world_trouble(CANCEL_AT_END, 10, 100, 0, 0.9, 0);
+	/* By itself, and where what was written may be late, or heard of late. */
+	if (variant % 3 == 1)
+		world_trouble(LATE_WRITES, 20, 90, 0, 0.4, 0);
+	if (variant % 3 == 2)
+		world_trouble(STATE_SLOW, 20, 90, 0, 1.4, 0);
+	world_trouble(CANCEL_AT_END, 10, 100, 0, 0.6, 0);
 	world_trouble(ODD_REQUESTS, 20, 80, 0, 0, 0);
 }
 
@@ -495,7 +528,7 @@
 	{"overload", "schedule.c: limits; record.c: the log", 3, overload},
 	{"held_command", "reconcile.c: absence_proves, may_forget", 6, held_command},
 	{"ten_leaders", "lease.c: epochs; takeover.c; record.c", 4, ten_leaders},
-	{"cancel_at_end", "answer.c: finishing, unsure", 4, cancel_at_end},
+	{"cancel_at_end", "answer.c: finishing, unsure; record.c: finalise", 6, cancel_at_end},
 	{"leader_ends_unheard", "reconcile.c: from_before; hearing.c", 6, leader_ends_unheard},
 	{"refused_and_out", "keeper.c: has_epoch, holds_overdue", 6, refused_and_out},
 	{"leader_cut", "keeper.c: hear, has_epoch; lease.c", 6, leader_cut},
--- a/tests/world.h
+++ b/tests/world.h
@@ -19,10 +19,10 @@
 	WORLD_NODES = 5,
 	WORLD_ZONES = 3,
 	WORLD_KINDS = 2,
-	WORLD_MACHINES = 512,
+	WORLD_MACHINES = 160,
 	WORLD_JOBS = 96,
 	WORLD_PARTS = 32,
-	WORLD_TASKS = 256,
+	WORLD_TASKS = 1024,
 	WORLD_TROUBLES = 64
 };
 
@@ -172,7 +172,7 @@
 	double sent, accepted, refused, cancel_sent, told_aborted, told_done, answered;
 	bool cancelling, repeating, said_overdue, said_waiting;
 	double waits_since;
-	int starts, late_starts;
+	int starts, late_starts, begun[WORLD_PARTS];
 };
 
 struct world_task {
@@ -213,6 +213,7 @@
 	int n_jobs;
 	struct world_machine machine[WORLD_MACHINES];
 	int n_machines;
+	int most_starts; /* of one task */
 	int failures, starts, completions, late_starts, polls;
 	char report[8192];
 };
@@ -235,6 +236,8 @@
 void world_user_submits(struct world_job *job);
 void world_user_cancels(struct world_job *job);
 void world_user_repeats(struct world_job *job);
+/* Asks again and again for a while: what is told must not go back. */
+void world_user_asks(struct world_job *job);
 struct world_job *world_job_find(const char *ref);
 
 /* ---- the rules ---- */
--- a/tests/world_check.c
+++ b/tests/world_check.c
@@ -120,6 +120,8 @@
 
 	world.starts++;
 	job->starts++;
+	if (++job->begun[index] > world.most_starts)
+		world.most_starts = job->begun[index];
 	if (job->on[index] > 0)
 		world_broken("ran_twice", "%s/%u begins on %s and is on %s", job->run.ref, index,
 		             m->name, world.machine[job->host[index]].name);
--- a/tests/world_state.c
+++ b/tests/world_state.c
@@ -381,14 +381,17 @@
 }
 
 /* 0, or -1 if the caller is to hear nothing. */
-static int delay(bool write, bool *lost)
+static int delay(bool write, bool *lost, double *after)
 {
 	const struct world_trouble *slow = world_troubled(STATE_SLOW, -1);
 	const struct world_trouble *late = world_troubled(LATE_WRITES, -1);
 	double s = world_chance(0.01) ? world_between(0.1, 0.4) : 0.002;
 
-	if (slow)
+	/* Slow before it is carried out, or after: then a caller may give up on what was done. */
+	if (slow && world_chance(0.5))
 		s = world_between(0, slow->much);
+	else if (slow)
+		*after = world_between(0, slow->much);
 	if (write && late && world_chance(late->much)) {
 		*lost = true;
 		s = world_between(2, 12);
@@ -400,8 +403,9 @@
                       struct fl_response *resp)
 {
 	bool lost = false;
+	double after = 0;
 
-	if (delay(strcmp(req->path, "/multi") == 0, &lost) != 0)
+	if (delay(strcmp(req->path, "/multi") == 0, &lost, &after) != 0)
 		return;
 	/* What is on its way when the service goes down is carried out when it is back. */
 	while (lost && world_troubled(STATE_OUT, -1))
@@ -421,6 +425,8 @@
 		get(req->path + strlen("/keys/"), resp);
 	if (lost)
 		resp->status = WORLD_SILENCE;
+	else if (after > 0)
+		fl_sleep(after);
 }
 
 void world_state_serve(struct world_end from, const struct fl_request *req,
--- a/tests/world_users.c
+++ b/tests/world_users.c
@@ -15,7 +15,8 @@
 	double later_s;          /* s between two polls of a job that is over */
 	double retry_s;          /* s before a request is repeated */
 	double give_up_s;        /* s after which a submission is given up */
-} rule = {5.0, 2.0, 5.0, 15.0, 1.0, 60.0};
+	int asks;                /* polls in a row of one who cannot wait */
+} rule = {5.0, 2.0, 5.0, 15.0, 1.0, 60.0, 10};
 
 const struct world_team world_teams[WORLD_TEAMS] = {
 	{"vision", 64, 128, 4, 10},
@@ -136,6 +137,21 @@
 	}
 }
 
+static void ask_routine(void *arg)
+{
+	for (int i = 0; i < rule.asks; i++) {
+		if (fl_sleep(world_between(0, 0.4)) != 0)
+			return;
+		poll_once(arg);
+	}
+}
+
+void world_user_asks(struct world_job *job)
+{
+	for (int i = 0; i < 2; i++)
+		world_spawn(0, ask_routine, job);
+}
+
 static void cancel_routine(void *arg)
 {
 	struct world_job *job = arg;
@@ -163,6 +179,7 @@
 	if (job->cancelling || job->accepted == 0)
 		return;
 	job->cancelling = true;
+	world_user_asks(job);
 	world_spawn(0, cancel_routine, job);
 }
 
--- a/tests/world_workers.c
+++ b/tests/world_workers.c
@@ -9,6 +9,8 @@
 #include "protocol/json.h"
 #include "transport/clock.h"
 
+enum { BODY_MOST = 64 * 1024 }; /* bytes of a request */
+
 static const struct {
 	double patience_s; /* s for an answer */
 	double next_s;     /* s before the next node is tried */
@@ -99,6 +101,8 @@
 	end_task(m, t, FL_EXIT_DONE);
 	for (uint32_t i = 0; i < job->run.parts; i++)
 		last = last && job->completed[i];
+	if (last && end)
+		world_user_asks(job);
 	if (last && end && world_chance(end->much)) {
 		world_user_cancels(job);
 		world_user_repeats(job);
@@ -187,7 +191,6 @@
 	return cpus <= k->cpus && gpus <= k->gpus && ram <= k->ram_gb;
 }
 
-/* NULL: more entries than any sane order would make. */
 static struct world_task *new_task(struct world_machine *m, const struct fl_part *p)
 {
 	for (int i = 0; i < WORLD_TASKS; i++) {
@@ -198,8 +201,7 @@
 		m->task[i] = (struct world_task){.used = true, .part = *p};
 		return &m->task[i];
 	}
-	world_broken("entries", "%s has %d tasks to report", m->name, WORLD_TASKS);
-	return NULL;
+	abort();
 }
 
 static void launch(struct world_machine *m, const struct fl_part *p)
@@ -217,8 +219,6 @@
 	else if (!has_room(m, job))
 		refusal = FL_EXIT_NO_ROOM;
 	t = new_task(m, p);
-	if (!t)
-		return;
 	t->job = job;
 	if (refusal != FL_EXIT_OTHER) {
 		end_task(m, t, refusal);
@@ -410,6 +410,8 @@
 	struct fl_reply reply;
 	int rc;
 
+	if (strlen(text) > BODY_MOST)
+		world_broken("too_large", "%s has to report %d tasks", m->name, m->n_tasks);
 	m->last_sent = sent;
 	m->changed = false;
 	copy_later(m, text);
