--- a/tests/world_time.c
+++ b/tests/world_time.c
@@ -27,7 +27,7 @@
 
 enum { STACK = 256 * 1024, SPARE = 256 };
 /* Both clocks begin somewhere: nothing may take them for spans since a start. */
-static const double steady_begin = 5000, wall_begin = 1.7e9;
+static const double steady_begin = 5000, wall_begin = 1.7e9, tick = 1e-6;
 
 struct fl_routine {
 	fcontext_t ctx;
@@ -128,6 +128,9 @@
 		rt.heap = realloc(rt.heap, (size_t)rt.cap * sizeof(*rt.heap));
 		world_must(rt.heap != NULL);
 	}
+	/* No span is shorter than this: a remainder lost in rounding would be slept for ever. */
+	if (seconds > 0 && seconds < tick)
+		seconds = tick;
 	t->when = rt.now + (seconds > 0 ? seconds : 0);
 	t->seq = ++rt.seq;
 	rt.heap[++rt.n] = t;
