--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -134,7 +134,6 @@
 	world.begin = fl_now();
 	m->plan(at);
 	world_state_begin();
-	world_cloud_begin();
 	world_workers_begin();
 	for (int i = 0; i < world.n_nodes; i++)
 		world_node_start(i);
--- a/tests/world.h
+++ b/tests/world.h
@@ -224,7 +224,6 @@
 
 void world_state_begin(void);
 void world_state_end(void);
-void world_cloud_begin(void);
 void world_cloud_end(void);
 void world_workers_begin(void);
 void world_worker_boot(int machine);
--- a/tests/world_cloud.c
+++ b/tests/world_cloud.c
@@ -248,6 +248,4 @@
 		list(req, resp);
 }
 
-void world_cloud_begin(void) {}
-
 void world_cloud_end(void) { memset(&cl, 0, sizeof(cl)); }
