Promised room is kept for three seconds and from services of a lower tier too; churn is a failure

Cause, found in the play of meetings: the job that a stop was made for may claim elsewhere in the next pass, and the promise ended with it; a lower job that counted on the rest of the room took the promise over; and an urgent service ignored the promise to a critical array, which may stop it. More than 30 breaks the play from now on.

--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -36,7 +36,7 @@
 	bool gone;      /* proven gone: a tombstone against late reports */
 	double gone_at;
 	/* Of the job that waits for room here: struct fl_promise in schedule.h. */
-	uint64_t claimed_round; /* of passes in which it last did; 0: never */
+	double claimed_at; /* steady; when it last did; 0: never */
 	uint8_t claimed_tier;
 	bool claimed_owed;
 	bool pushing;            /* a direct command is under way */
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -26,7 +26,6 @@
 	struct fl_trash *trash; /* records of jobs that are over, still to be deleted */
 	bool due;               /* a pass is wanted */
 	int resume;
-	uint64_t rounds; /* passes that began at the head of the order */
 	int pushes;
 	int unforgotten; /* finished entries that only a higher epoch lets go */
 	uint64_t passes;
--- a/src/coordination/pass.c
+++ b/src/coordination/pass.c
@@ -20,7 +20,8 @@
 	int waiting_most;     /* tasks of one job looked at in one pass */
 	double fresh_reports; /* report intervals after which a silent machine gets no new task */
 	double forget_s;      /* s; finished entries wait this long for a higher epoch */
-} choice = {0.1, 1.0, 0.1, 0.03, 256, 3, 40.0};
+	double promise_s;     /* s for which room is kept for whom something was stopped there */
+} choice = {0.1, 1.0, 0.1, 0.03, 256, 3, 40.0, 3.0};
 
 struct snapshot {
 	struct fl_sched_in in;
@@ -163,24 +164,27 @@
 }
 
 /*
- * Each pass claims again what it still waits for. One that runs out of time comes to the rest
- * later, so what counts is all that was claimed since the beginning of the last whole one.
+ * A stopped task is gone when its machine says so, some passes later, and until then the job may
+ * claim elsewhere, where something looks better meanwhile. Found in the play of meetings: the room
+ * then went to what had been stopped, which was stopped again, every second for minutes.
  */
-static struct fl_promise promise_of(const struct fl_node *n, const struct fl_machine *m)
+static struct fl_promise promise_of(const struct fl_machine *m, double now)
 {
-	if (m->claimed_round == 0 || m->claimed_round + 1 < n->lead.rounds)
+	if (m->claimed_at <= 0 || now > m->claimed_at + choice.promise_s)
 		return (struct fl_promise){0};
 	return (struct fl_promise){true, m->claimed_owed, (enum fl_tier)m->claimed_tier};
 }
 
-static void note_claims(struct fl_node *n, const struct snapshot *s)
+static void note_claims(const struct snapshot *s, double now)
 {
 	for (int i = 0; i < s->in.n_machines; i++) {
 		const struct fl_promise *c = &s->in.machines[i].claimed;
 
-		if (!c->made)
+		/* A lower job that counts on the rest of the room takes nothing from a promise. */
+		if (!c->made ||
+		    (s->in.machines[i].promised.made && s->in.machines[i].promised.tier > c->tier))
 			continue;
-		s->machines[i]->claimed_round = n->lead.rounds;
+		s->machines[i]->claimed_at = now;
 		s->machines[i]->claimed_owed = c->owed;
 		s->machines[i]->claimed_tier = (uint8_t)c->tier;
 	}
@@ -224,7 +228,7 @@
 		*sm = (struct fl_sched_machine){.kind = m->kind,
 		                                .zone = m->zone,
 		                                .spot = m->spot,
-		                                .promised = promise_of(n, m),
+		                                .promised = promise_of(m, now),
 		                                .cpus = k->cpus - m->used_cpus,
 		                                .gpus = k->gpus - m->used_gpus,
 		                                .ram_gb = k->ram_gb - m->used_ram,
@@ -295,7 +299,6 @@
 	struct snapshot s;
 
 	n->lead.due = false;
-	n->lead.rounds += n->lead.resume == 0;
 	if (take_snapshot(n, &s, now) != 0)
 		goto out;
 	if (fl_schedule(&s.in, &out) != 0) {
@@ -305,7 +308,7 @@
 	n->lead.resume = out.resume;
 	if (out.resume)
 		n->lead.due = true;
-	note_claims(n, &s);
+	note_claims(&s, now);
 	apply(n, &s, &out, now);
 	fl_provision_shortage(n, s.jobs, out.short_of, s.in.n_jobs);
 	n->lead.passes++;
--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -177,9 +177,12 @@
 static bool kept_from(const struct pass *p, const struct fl_sched_job *j,
                       const struct fl_sched_machine *m)
 {
-	if (!m->promised.made || ahead(j))
+	if (!m->promised.made)
 		return false;
-	return p->resumed || j->tier < m->promised.tier || (m->promised.owed && !j->owed);
+	/* Services too: an urgent one goes before a critical array, which may stop it. */
+	if (j->tier < m->promised.tier)
+		return true;
+	return !ahead(j) && (p->resumed || (m->promised.owed && !j->owed));
 }
 
 static double rate_start(const struct pass *p, const struct fl_sched_job *j, int zone,
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -18,6 +18,9 @@
 
 struct world world;
 
+/* Of one task, in some 200 s: by losses, refusals and stops. Nine is the most that was seen. */
+enum { MOST_STARTS = 30 };
+
 struct meeting {
 	const char *name;
 	const char *guards; /* what in src it protects */
@@ -144,6 +147,10 @@
 	world.end_s = world.calm_s + 95;
 	world_time_run(world.begin + world.end_s);
 	world_check_end();
+	/* Found here: an array that was started and stopped in turn, 212 times, for whom it was for
+	 * never took the room. */
+	if (world.most_starts > MOST_STARTS)
+		world_broken("churn", "one task was started %d times", world.most_starts);
 	if (getenv("WORLD_VERBOSE") || world.failures > 0)
 		print_message("%s, seed %llu (variant %d): %d nodes, %d zones, lease %g, %.0f s, "
 		              "%d jobs, %d machines, %d starts, %d done, %d polls, %d late "
--- a/tests/test_schedule.c
+++ b/tests/test_schedule.c
@@ -306,8 +306,8 @@
 			    !m_zone(j, k->zone) || (until && est > until[i]))
 				continue;
 			/* Promised to one that it does not reach up to. */
-			if (k->promised.made && !m_ahead(j) &&
-			    (k->promised.tier > j->tier || (k->promised.owed && !j->owed)))
+			if (k->promised.made && (k->promised.tier > j->tier ||
+			                         (k->promised.owed && !j->owed && !m_ahead(j))))
 				continue;
 			if (best < 0 || m_score(j, k) < m_score(j, &m->w.machines[best]))
 				best = i;
