--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -523,7 +523,7 @@
 }
 
 static const struct meeting meetings[] = {
-	{"gap", "keeper.c: holds_overdue, knows_jobs, has_epoch", 12, gap, 0},
+	{"gap", "keeper.c: learn, knows_jobs, stop_cancelled, holds_overdue", 12, gap, 0},
 	{"ends_apart", "takeover.c: load_chunk, load_rest_of_log", 3, ends_apart, 0},
 	{"old_report", "reconcile.c: newer, from_before", 3, old_report, 0},
 	{"mute", "silence.c, command.c: direct launches; reconcile.c: absence_proves", 3, mute, 0},
@@ -535,13 +535,13 @@
 	{"held_report", "reconcile.c: from_before, newer", 3, held_report, 0},
 	{"site_loses", "schedule.c, provision.c: places; reconcile.c: gone", 3, site_loses, 0},
 	{"hand_over", "lease.c: epochs; takeover.c", 3, hand_over, 0},
-	{"overload", "schedule.c: limits; record.c: the log", 3, overload, 0},
+	{"overload", "schedule.c: limits, promises; record.c: the log", 3, overload, 0},
 	{"held_command", "reconcile.c: absence_proves, may_forget", 3, held_command, 0},
 	{"ten_leaders", "lease.c: epochs; takeover.c; record.c", 3, ten_leaders, 0},
 	{"cancel_at_end", "answer.c: finishing, unsure; record.c: finalise", 4, cancel_at_end, 0},
 	{"leader_ends_unheard", "reconcile.c: from_before; hearing.c", 3, leader_ends_unheard, 0},
-	{"refused_and_out", "keeper.c: has_epoch, holds_overdue", 4, refused_and_out, 0},
-	{"leader_cut", "keeper.c: hear, has_epoch; lease.c", 3, leader_cut, 0},
+	{"refused_and_out", "keeper.c: learn, knows_jobs", 4, refused_and_out, 0},
+	{"leader_cut", "keeper.c: learn, knows_jobs; lease.c", 3, leader_cut, 0},
 	{"slow_then_out", "keeper.c: knows_jobs; answer.c", 4, slow_then_out, 0},
 	{"chance", "all of them", 14, chance_meeting, 0},
 };
