--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -37,6 +37,7 @@
 	double gone_at;
 	/* Of the job that waits for room here: struct fl_promise in schedule.h. */
 	double claimed_at; /* steady; when it last did; 0: never */
+	double claimed_cpus, claimed_gpus, claimed_ram;
 	uint8_t claimed_tier;
 	bool claimed_owed;
 	bool pushing;            /* a direct command is under way */
--- a/src/coordination/pass.c
+++ b/src/coordination/pass.c
@@ -115,6 +115,7 @@
 	r->standing = job->kind == FL_STANDING;
 	r->stopping = job->aborted || t->stop != FL_STOP_NONE;
 	r->movable = !r->stopping;
+	r->owed = job->owed;
 	r->cpus = job->cpus;
 	r->gpus = job->gpus;
 	r->ram_gb = job->ram_gb;
@@ -172,7 +173,12 @@
 {
 	if (m->claimed_at <= 0 || now > m->claimed_at + choice.promise_s)
 		return (struct fl_promise){0};
-	return (struct fl_promise){true, m->claimed_owed, (enum fl_tier)m->claimed_tier};
+	return (struct fl_promise){.made = true,
+	                           .owed = m->claimed_owed,
+	                           .tier = (enum fl_tier)m->claimed_tier,
+	                           .cpus = m->claimed_cpus,
+	                           .gpus = m->claimed_gpus,
+	                           .ram_gb = m->claimed_ram};
 }
 
 static void note_claims(const struct snapshot *s, double now)
@@ -187,6 +193,9 @@
 		s->machines[i]->claimed_at = now;
 		s->machines[i]->claimed_owed = c->owed;
 		s->machines[i]->claimed_tier = (uint8_t)c->tier;
+		s->machines[i]->claimed_cpus = c->cpus;
+		s->machines[i]->claimed_gpus = c->gpus;
+		s->machines[i]->claimed_ram = c->ram_gb;
 	}
 }
 
@@ -270,6 +279,9 @@
 		    fl_task_place(&n->books, job, index, m, n->lease.epoch, now) != 0)
 			continue;
 		fl_machine_note_bundle(m, job->bundle);
+		/* What it was kept for has come; who still waits claims again in each pass. */
+		if ((uint8_t)job->tier >= m->claimed_tier)
+			m->claimed_at = 0;
 		job->window_until = 0;
 		m->want_push = true;
 		fl_info("schedule", "%s/%u try %u on %s", job->ref, index,
@@ -308,8 +320,8 @@
 	n->lead.resume = out.resume;
 	if (out.resume)
 		n->lead.due = true;
-	note_claims(&s, now);
 	apply(n, &s, &out, now);
+	note_claims(&s, now);
 	fl_provision_shortage(n, s.jobs, out.short_of, s.in.n_jobs);
 	n->lead.passes++;
 	fl_debug("schedule", "pass %llu: %d jobs, %d machines, %d starts, %d stops, %.1f ms%s",
--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -174,23 +174,44 @@
  * which took the room again in every other pass and were stopped 80,000 times in ten minutes. Nor
  * does a pass that goes on in the middle of the order give away what its head waits for.
  */
-static bool kept_from(const struct pass *p, const struct fl_sched_job *j,
-                      const struct fl_sched_machine *m)
+static struct fl_amounts kept_from(const struct pass *p, const struct fl_sched_job *j,
+                                   const struct fl_sched_machine *m)
 {
-	if (!m->promised.made)
-		return false;
+	const struct fl_promise *was = &m->promised, *now = &m->claimed;
+	struct fl_amounts kept = {was->cpus, was->gpus, was->ram_gb};
+
+	if (!was->made)
+		return (struct fl_amounts){0};
 	/* Services too: an urgent one goes before a critical array, which may stop it. */
-	if (j->tier < m->promised.tier)
-		return true;
-	return !ahead(j) && (p->resumed || (m->promised.owed && !j->owed));
+	if (j->tier >= was->tier && (ahead(j) || (!p->resumed && (!was->owed || j->owed))))
+		return (struct fl_amounts){0};
+	/* What it was made for has claimed again in this pass is off the free room already. */
+	if (now->made && now->tier >= was->tier) {
+		kept.cpus = fmax(0, kept.cpus - now->cpus);
+		kept.gpus = fmax(0, kept.gpus - now->gpus);
+		kept.ram_gb = fmax(0, kept.ram_gb - now->ram_gb);
+	}
+	return kept;
+}
+
+/* What is or will be free on a machine for this job. */
+static struct fl_amounts room_for(const struct pass *p, const struct fl_sched_job *j, int machine)
+{
+	const struct fl_sched_machine *m = &p->in->machines[machine];
+	struct fl_amounts kept = kept_from(p, j, m);
+
+	return (struct fl_amounts){m->cpus + p->coming_cpus[machine] - kept.cpus,
+	                           m->gpus + p->coming_gpus[machine] - kept.gpus,
+	                           m->ram_gb + p->coming_ram[machine] - kept.ram_gb};
 }
 
 static double rate_start(const struct pass *p, const struct fl_sched_job *j, int zone,
                          const double *ends_by, int machine)
 {
 	const struct fl_sched_machine *m = &p->in->machines[machine];
+	struct fl_amounts room = room_for(p, j, machine);
 
-	if ((zone >= 0 && m->zone != zone) || kept_from(p, j, m) ||
+	if ((zone >= 0 && m->zone != zone) || !fits(j, room.cpus, room.gpus, room.ram_gb) ||
 	    !fits(j, m->cpus, m->gpus, m->ram_gb) || !allowed(j, m) || !zone_ok(j, m->zone) ||
 	    (ends_by && ends_by[machine] < j->est_s))
 		return INFINITY;
@@ -318,7 +339,11 @@
 		return false;
 	if (r->tier < j->tier)
 		return true;
-	if (!owed || r->team == j->team || r->standing)
+	/*
+	 * Nor what is itself within a guarantee, though its team has more besides: found in the
+	 * play of meetings, it went first in the next pass, and was stopped again.
+	 */
+	if (!owed || r->team == j->team || r->standing || r->owed)
 		return false;
 	t = &p->in->teams[r->team];
 	return !fl_team_within_guarantee(t, t->used_cpus, t->used_gpus);
@@ -339,9 +364,8 @@
 static double victims_on(struct pass *p, const struct fl_sched_job *j, int machine, bool owed,
                          int *n_set)
 {
-	const struct fl_sched_machine *m = &p->in->machines[machine];
-	double cpus = m->cpus + p->coming_cpus[machine], gpus = m->gpus + p->coming_gpus[machine];
-	double ram = m->ram_gb + p->coming_ram[machine], cost = 0;
+	struct fl_amounts room = room_for(p, j, machine);
+	double cpus = room.cpus, gpus = room.gpus, ram = room.ram_gb, cost = 0;
 	int n = 0, used = 0, *set = p->victims;
 
 	for (int k = p->first[machine]; k < p->first[machine + 1]; k++)
@@ -424,7 +448,10 @@
 	m->ram_gb -= j->ram_gb;
 	j->zone_placed[m->zone]++;
 	if (!m->claimed.made)
-		m->claimed = (struct fl_promise){true, t.owed, j->tier};
+		m->claimed = (struct fl_promise){.made = true, .owed = t.owed, .tier = j->tier};
+	m->claimed.cpus += j->cpus;
+	m->claimed.gpus += j->gpus;
+	m->claimed.ram_gb += j->ram_gb;
 	if (looks_at_zones(j))
 		rate_claims(p, j, t);
 	else
--- a/src/coordination/schedule.h
+++ b/src/coordination/schedule.h
@@ -46,6 +46,7 @@
 struct fl_promise {
 	bool made, owed;
 	enum fl_tier tier;
+	double cpus, gpus, ram_gb; /* what is waited for; the rest of the machine is anybody's */
 };
 
 struct fl_sched_machine {
@@ -63,6 +64,7 @@
 	int machine, team;
 	enum fl_tier tier;
 	bool standing, stopping, movable; /* movable: may be chosen as a victim at all */
+	bool owed;                        /* of a job within its team's guarantee */
 	bool foothold; /* all that a job past its patience has: only urgent work stops it */
 	double cpus, gpus, ram_gb;
 	double left_s; /* by its estimate; INFINITY for a service */
--- a/tests/test_schedule.c
+++ b/tests/test_schedule.c
@@ -169,18 +169,41 @@
 		return false;
 	if (r->tier < j->tier)
 		return true;
-	return owed && r->team != j->team && !r->standing &&
+	return owed && r->team != j->team && !r->standing && !r->owed &&
 	       !m_in_guarantee(t, t->used_cpus, t->used_gpus);
 }
 
+/* Free or coming on a machine, less what is promised to one that `j` does not reach up to. */
+static void m_open(const struct model *m, const struct fl_sched_job *j, int i, double open[3])
+{
+	const struct fl_sched_machine *k = &m->w.machines[i];
+	const struct fl_promise *p = &k->promised;
+	double kept[3] = {p->cpus, p->gpus, p->ram_gb};
+	double again[3] = {k->claimed.cpus, k->claimed.gpus, k->claimed.ram_gb};
+
+	open[0] = k->cpus + m->later[i][0];
+	open[1] = k->gpus + m->later[i][1];
+	open[2] = k->ram_gb + m->later[i][2];
+	if (!p->made || (j->tier >= p->tier && (m_ahead(j) || !p->owed || j->owed)))
+		return;
+	for (int x = 0; x < 3; x++) {
+		if (k->claimed.made && k->claimed.tier >= p->tier)
+			kept[x] -= again[x];
+		if (kept[x] > 0)
+			open[x] -= kept[x];
+	}
+}
+
 /* Cost of making room for one task on a machine; the victims in `set`. */
 static double m_clear(const struct model *m, const struct fl_sched_job *j, int machine, bool owed,
                       bool *set)
 {
-	const struct fl_sched_machine *k = &m->w.machines[machine];
-	double c = k->cpus + m->later[machine][0], g = k->gpus + m->later[machine][1];
-	double r = k->ram_gb + m->later[machine][2], cost = 0;
+	double open[3], c, g, r, cost = 0;
 
+	m_open(m, j, machine, open);
+	c = open[0];
+	g = open[1];
+	r = open[2];
 	memset(set, 0, sizeof(bool) * R);
 	while (!m_room(j, c, g, r)) {
 		int cheapest = -1;
@@ -254,6 +277,9 @@
 		m->w.machines[best].claimed.owed = owed;
 		m->w.machines[best].claimed.tier = j->tier;
 	}
+	m->w.machines[best].claimed.cpus += j->cpus;
+	m->w.machines[best].claimed.gpus += j->gpus;
+	m->w.machines[best].claimed.ram_gb += j->ram_gb;
 	return true;
 }
 
@@ -292,7 +318,7 @@
 		*before = *m;
 	}
 	for (uint32_t all = j->waiting; j->waiting > m->held && !(one && j->waiting < all);) {
-		double fetch;
+		double fetch, open[3];
 		int best = -1;
 
 		if (!m_team(m, j))
@@ -306,8 +332,8 @@
 			    !m_zone(j, k->zone) || (until && est > until[i]))
 				continue;
 			/* Promised to one that it does not reach up to. */
-			if (k->promised.made && (k->promised.tier > j->tier ||
-			                         (k->promised.owed && !j->owed && !m_ahead(j))))
+			m_open(m, j, i, open);
+			if (!m_room(j, open[0], open[1], open[2]))
 				continue;
 			if (best < 0 || m_score(j, k) < m_score(j, &m->w.machines[best]))
 				best = i;
@@ -482,6 +508,9 @@
 		w->machines[i].promised.made = pick(g, 4) == 0;
 		w->machines[i].promised.owed = pick(g, 2) > 0;
 		w->machines[i].promised.tier = (enum fl_tier)pick(g, 4);
+		w->machines[i].promised.cpus = pick(g, 12);
+		w->machines[i].promised.gpus = pick(g, 3);
+		w->machines[i].promised.ram_gb = pick(g, 30);
 	}
 	for (int i = 0; i < tries; i++) {
 		struct fl_sched_run r = {0};
@@ -494,6 +523,7 @@
 		r.standing = pick(g, 3) == 0;
 		r.stopping = pick(g, 6) == 0;
 		r.movable = !r.stopping;
+		r.owed = pick(g, 3) == 0;
 		r.foothold = !r.standing && pick(g, 3) == 0;
 		r.cpus = 1 + pick(g, 6);
 		r.gpus = pick(g, 3);
@@ -580,6 +610,9 @@
 		assert_int_equal(c->made, m->w.machines[i].claimed.made);
 		assert_int_equal(c->owed, m->w.machines[i].claimed.owed);
 		assert_int_equal(c->tier, m->w.machines[i].claimed.tier);
+		assert_true(fabs(c->cpus - m->w.machines[i].claimed.cpus) < 1e-6 &&
+		            fabs(c->gpus - m->w.machines[i].claimed.gpus) < 1e-6 &&
+		            fabs(c->ram_gb - m->w.machines[i].claimed.ram_gb) < 1e-6);
 	}
 	assert_int_equal(out.top, m->top);
 	if (m->top >= 0)
