Passes are paced by the processor time of the controller's share

Cause: a process with 3.6% of a core runs at full speed until its share is used up and then stands still. Pauses and the budget of passes were taken from the steady clock, so that passes of 2 to 8 ms, ten a second, could take more than the share.

--- a/src/coordination/pass.c
+++ b/src/coordination/pass.c
@@ -16,11 +16,29 @@
 } tunables = {
 	.gap_s = 0.1,     /* s between two passes at least: many reports, one pass */
 	.most_s = 1.0,    /* s between two passes at most */
-	.share = 0.1,     /* of the time for passes at most, however slow this controller is */
-	.budget_s = 0.03, /* s of a pass before it stops and resumes next time */
+	.share = 0.2,     /* of this controller's processor for passes at most */
+	.budget_s = 0.03, /* s of a pass before it stops and resumes next time, at most */
 	.forget_s = 40.0, /* s; finished entries wait this long for a higher epoch */
 };
 
+double fl_pass_budget_s(double core_share)
+{
+	return fmin(tunables.budget_s, tunables.share * core_share * tunables.most_s);
+}
+
+/*
+ * Found with 3.6% of a core: the system lets a process run at full speed until its share is used
+ * up, and then it stands still for a second. By the steady clock passes of 4 ms, ten a second, were
+ * 4% of the time, and took all of the share from reports and polls.
+ */
+double fl_pass_gap_s(double core_share, double took_s, double processor_s)
+{
+	double share = fmin(core_share, 1);
+
+	return fmin(tunables.most_s,
+	            fmax(tunables.gap_s, fmax(took_s, processor_s / share) / tunables.share));
+}
+
 static bool out_of_time(void *arg)
 {
 	const double *deadline = arg;
@@ -108,7 +126,8 @@
 
 static void pass(struct fl_node *n)
 {
-	double now = fl_now(), deadline = now + tunables.budget_s;
+	double now = fl_now();
+	double deadline = now + fl_pass_budget_s(n->config->core_share);
 	struct fl_sched_out out = {0};
 	struct fl_snapshot snapshot;
 
@@ -180,16 +199,10 @@
 	}
 }
 
-/* A slow controller makes fewer passes rather than leave workers and users unanswered. */
-static double gap_after(double took_s)
-{
-	return fmin(tunables.most_s, fmax(tunables.gap_s, took_s / tunables.share));
-}
-
 void fl_pass_duty(void *arg)
 {
 	struct fl_node *n = arg;
-	double last = 0, gap = tunables.gap_s;
+	double last = 0, processor, gap = tunables.gap_s;
 
 	while (!fl_cancelled()) {
 		double wait = n->lead.due ? tunables.gap_s : tunables.most_s;
@@ -201,10 +214,12 @@
 		if (!fl_leading(n))
 			continue;
 		last = fl_now();
+		processor = fl_cpu_time();
 		drain_reclaimed(n);
 		stop_broken_gangs(n);
 		pass(n);
-		gap = gap_after(fl_now() - last);
+		gap = fl_pass_gap_s(n->config->core_share, fl_now() - last,
+		                    fl_cpu_time() - processor);
 		if (n->cluster.dirty)
 			fl_signal_wake(&n->lead.dirty);
 		if (n->lead.retained_entries > 0 && last > n->lease.raised_at + tunables.forget_s)
--- a/src/coordination/pass.h
+++ b/src/coordination/pass.h
@@ -7,5 +7,12 @@
 
 /* The routine of a leader, with its fl_node. */
 void fl_pass_duty(void *arg);
+/* Seconds after which a pass stops, to be resumed by the next, with this share of a core. */
+double fl_pass_budget_s(double core_share);
+/*
+ * Seconds between the begins of two passes, after one that took `took_s` by the clock and
+ * `processor_s` of processor time, with this share of a core.
+ */
+double fl_pass_gap_s(double core_share, double took_s, double processor_s);
 
 #endif
--- a/src/transport/clock.c
+++ b/src/transport/clock.c
@@ -15,6 +15,8 @@
 
 double fl_wall(void) { return read_clock(CLOCK_REALTIME); }
 
+double fl_cpu_time(void) { return read_clock(CLOCK_PROCESS_CPUTIME_ID); }
+
 double fl_since(double wall)
 {
 	/* In this order: a process that stands still in between takes it for older, never newer. */
--- a/tests/sim_clock.c
+++ b/tests/sim_clock.c
@@ -20,6 +20,9 @@
 
 double fl_wall(void) { return clocks.now - steady_begin + wall_begin; }
 
+/* Virtual time passes between pieces of work, not within them. */
+double fl_cpu_time(void) { return 0; }
+
 double fl_since(double wall)
 {
 	return wall > 0 && wall < fl_wall() ? clocks.now - (fl_wall() - wall) : clocks.now;
