--- a/src/transport/http.c
+++ b/src/transport/http.c
@@ -121,23 +121,34 @@
 	fl_buf_free(&m->body);
 }
 
+/*
+ * What all routines read into: no routine waits between a read and the parsing of it. On the stack
+ * of each connection it stayed in memory for as long as the connection was idle.
+ */
+static char chunk[8192];
+
 int fl_msg_read(struct fl_msg *m, int fd, double timeout_s)
 {
 	double until = fl_now() + timeout_s;
-	char chunk[8192];
+	bool more = false; /* a full chunk was read: the rest is probably there */
 
 	while (!m->complete) {
-		ssize_t n = recv(fd, chunk, sizeof(chunk), 0);
+		ssize_t n;
 		size_t done;
-
-		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
-			double left = until - fl_now();
-			int rc = left > 0 ? fl_wait_io(fd, EV_READ, left) : -ETIMEDOUT;
-
-			if (rc)
-				return rc;
+		int rc = 0;
+
+		/*
+		 * First the wait: a message is hardly ever there before it is asked for. One that
+		 * has come counts even if its time is over.
+		 */
+		if (!more)
+			rc = fl_wait_io(fd, EV_READ, fmax(0, until - fl_now()));
+		if (rc)
+			return rc;
+		n = recv(fd, chunk, sizeof(chunk), 0);
+		more = n == (ssize_t)sizeof(chunk);
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 			continue;
-		}
 		if (n < 0)
 			return -ECONNRESET;
 		if (n > 0 && !m->started) {
@@ -213,6 +224,12 @@
 	return fd;
 }
 
+void fl_close(int fd)
+{
+	fl_unregister_io(fd);
+	close(fd);
+}
+
 int fl_sockets_allow(int n)
 {
 	struct rlimit r;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -43,6 +43,8 @@
 int fl_parse_addr(const char *text, struct sockaddr_in *out);
 /* A TCP socket, non-blocking and without delay; -1: none to be had. */
 int fl_socket(void);
+/* Closes a socket that the current routine has used. */
+void fl_close(int fd);
 /* Raises what the system allows to `n` open files, as far as may be; how many it allows then. */
 int fl_sockets_allow(int n);
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -44,7 +44,7 @@
 	if (!rc && err)
 		rc = -err;
 	if (rc) {
-		close(fd);
+		fl_close(fd);
 		return rc;
 	}
 	return fd;
@@ -63,6 +63,7 @@
                  double timeout_s, struct fl_reply *out)
 {
 	double until = fl_now() + timeout_s;
+	size_t body_len = body ? strlen(body) : 0;
 	struct fl_buf req = {0};
 	struct fl_msg msg;
 	bool reused;
@@ -72,8 +73,10 @@
 	fl_msg_init(&msg, HTTP_RESPONSE, tunables.max_body);
 	rc = fl_buf_printf(&req,
 	                   "%s %s HTTP/1.1\r\nHost: fawnlead\r\nContent-Type: application/json\r\n"
-	                   "Content-Length: %zu\r\n\r\n%s",
-	                   method, path, body ? strlen(body) : 0, body ? body : "");
+	                   "Content-Length: %zu\r\n\r\n",
+	                   method, path, body_len);
+	if (!rc && body_len > 0)
+		rc = fl_buf_add(&req, body, body_len);
 	if (rc)
 		goto out;
 	do {
@@ -88,11 +91,13 @@
 		}
 		rc = exchange(fd, &req, until, &msg);
 		/* The peer closed a kept connection before it saw this request: use another. */
-	} while (rc == -ECONNRESET && reused && !msg.started && (close(fd), true));
-	if (!rc && msg.keep_alive && c->idles < c->max_idle)
+	} while (rc == -ECONNRESET && reused && !msg.started && (fl_close(fd), true));
+	if (!rc && msg.keep_alive && c->idles < c->max_idle) {
+		fl_unregister_io(fd);
 		c->idle[c->idles++] = fd;
-	else
-		close(fd);
+	} else {
+		fl_close(fd);
+	}
 	if (rc)
 		goto out;
 	out->status = msg.parser.status_code;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -23,6 +24,9 @@
 	.nearly = 32,  /* part (one in so many) of the connections that is for one answer each */
 };
 
+/* Digits of an int, with its sign. */
+enum { FL_INT_DIGITS = 11 };
+
 struct fl_http_server {
 	int fd;
 	int conns, max_conns;
@@ -39,17 +43,20 @@
 static int send_response(int fd, const struct fl_response *r, bool keep)
 {
 	const char *body = r->body ? r->body : "{}";
+	size_t body_len = strlen(body);
 	struct fl_buf out = {0};
+	char retry[sizeof("Retry-After: \r\n") + FL_INT_DIGITS] = "";
 	int rc;
 
-	rc = fl_buf_printf(&out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", r->status,
-	                   http_status_str((enum http_status)r->status));
-	if (!rc && r->retry_after_s > 0)
-		rc = fl_buf_printf(&out, "Retry-After: %d\r\n", r->retry_after_s);
-	if (!rc && !keep)
-		rc = fl_buf_printf(&out, "Connection: close\r\n");
+	if (r->retry_after_s > 0)
+		snprintf(retry, sizeof(retry), "Retry-After: %d\r\n", r->retry_after_s);
+	rc = fl_buf_printf(&out,
+	                   "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%s%s"
+	                   "Content-Length: %zu\r\n\r\n",
+	                   r->status, http_status_str((enum http_status)r->status), retry,
+	                   keep ? "" : "Connection: close\r\n", body_len);
 	if (!rc)
-		rc = fl_buf_printf(&out, "Content-Length: %zu\r\n\r\n%s", strlen(body), body);
+		rc = fl_buf_add(&out, body, body_len);
 	if (!rc)
 		rc = fl_write_all(fd, out.data, out.len, tunables.write_s);
 	fl_buf_free(&out);
@@ -157,7 +164,7 @@
 
 	while (!fl_cancelled() && serve_one(c))
 		;
-	close(c->fd);
+	fl_close(c->fd);
 	c->server->conns--;
 	free(c);
 }
@@ -192,7 +199,7 @@
 		fl_error("transport", "no room for a connection (%d open)", s->conns);
 		close(fd);
 	}
-	close(s->fd);
+	fl_close(s->fd);
 	s->fd = -1;
 }
 
--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -50,6 +50,7 @@
 	struct ev_timer timer;
 	void *fake_stack;
 	int result;
+	bool awaits_io; /* else `io`, if it is active, only keeps its registration */
 	bool parked, ready, cancelled, finished, urgent;
 };
 
@@ -153,9 +154,10 @@
 	r->sig_prev = r->sig_next = NULL;
 }
 
+/* The registration of its socket stays: it most often waits for the same socket next. */
 static void wake(struct fl_routine *r, int result)
 {
-	ev_io_stop(rt.loop, &r->io);
+	r->awaits_io = false;
 	ev_timer_stop(rt.loop, &r->timer);
 	sig_unlink(r);
 	make_ready(r, result);
@@ -163,8 +165,13 @@
 
 static void on_io(struct ev_loop *loop, struct ev_io *w, int revents)
 {
-	(void)loop, (void)revents;
-	wake(w->data, 0);
+	struct fl_routine *r = w->data;
+
+	(void)revents;
+	if (r->awaits_io)
+		wake(r, 0);
+	else
+		ev_io_stop(loop, w); /* it does something else, and the event would not end */
 }
 
 static void on_timer(struct ev_loop *loop, struct ev_timer *w, int revents)
@@ -208,6 +215,7 @@
 		rt.all = r->next;
 	if (r->next)
 		r->next->prev = r->prev;
+	ev_io_stop(rt.loop, &r->io);
 	stack_put(r->stack);
 	free(r);
 }
@@ -370,12 +378,25 @@
 
 	if (r->cancelled)
 		return -ECANCELED;
-	ev_io_set(&r->io, fd, events);
-	ev_io_start(rt.loop, &r->io);
+	/* Each registration is a system call; one that stands from an earlier wait serves again. */
+	if (!ev_is_active(&r->io) || r->io.fd != fd || r->io.events != events) {
+		ev_io_stop(rt.loop, &r->io);
+		ev_io_set(&r->io, fd, events);
+		ev_io_start(rt.loop, &r->io);
+	}
+	r->awaits_io = true;
 	arm_timer(r, timeout_s);
 	return park();
 }
 
+void fl_unregister_io(int fd)
+{
+	struct fl_routine *r = rt.current;
+
+	if (r && ev_is_active(&r->io) && r->io.fd == fd)
+		ev_io_stop(rt.loop, &r->io);
+}
+
 int fl_signal_wait(struct fl_signal *sig, double timeout_s)
 {
 	struct fl_routine *r = rt.current;
--- a/src/transport/routine.h
+++ b/src/transport/routine.h
@@ -40,6 +40,11 @@
 /* Waits: 0, -ETIMEDOUT or -ECANCELED. A negative time-out waits without end. */
 int fl_sleep(double seconds);
 int fl_wait_io(int fd, int events, double timeout_s);
+/*
+ * To be called by the routine that waited for this descriptor, before it closes it or hands it to
+ * another routine: the registration of a wait is kept for the next one.
+ */
+void fl_unregister_io(int fd);
 int fl_signal_wait(struct fl_signal *sig, double timeout_s);
 void fl_signal_wake(struct fl_signal *sig);
 
--- a/tests/sim_time.c
+++ b/tests/sim_time.c
@@ -388,6 +388,8 @@
 }
 
 /* There are no sockets here. */
+void fl_unregister_io(int fd) { (void)fd; }
+
 int fl_wait_io(int fd, int events, double timeout_s)
 {
 	(void)fd, (void)events, (void)timeout_s;
