Plan of rentals looks at each machine once a job; hopeless preemptions cost no rating

Cause: the plan searched from the first machine for each task of a job, the rating of preemptions worked out a place's worth where no room could be made.

--- a/src/coordination/provision.h
+++ b/src/coordination/provision.h
@@ -23,6 +23,7 @@
 struct fl_provision {
 	struct fl_rental_request requests[FL_RENTAL_REQUESTS_MAX];
 	int n_requests;
+	long looks;            /* at planned machines, by the last plan: its work */
 	bool renting;          /* a call is under way: what is short is unknown until it returns */
 	uint64_t rental_names; /* given out in this epoch */
 	double refused_until[FL_MACHINE_TYPES_MAX][FL_ZONES_MAX][2]; /* last index: spot or not */
--- a/src/coordination/provision_plan.c
+++ b/src/coordination/provision_plan.c
@@ -123,21 +123,31 @@
 	return add_planned(plan, type, zone, spot, FL_PLANNED_RENTAL);
 }
 
-/* Places a task on a planned machine, a further rental if need be; false if there is none. */
-static bool place_task(struct fl_provision_plan *plan, const struct fl_job *job, uint32_t *placed)
+static bool takes_task(const struct fl_planned_machine *machine, const struct fl_job *job,
+                       const uint32_t *placed)
 {
-	struct fl_planned_machine *chosen = NULL;
+	return fl_provision_job_allows(job, machine->type, machine->zone, machine->spot) &&
+	       task_fits(job, machine->cpus, machine->gpus, machine->ram_gb) &&
+	       zone_allows(job, placed, machine->zone);
+}
 
-	for (int i = 0; i < plan->count && !chosen; i++) {
-		struct fl_planned_machine *machine = &plan->machines[i];
+/*
+ * Places a task on a planned machine, a further rental if need be; false if there is none. `next`
+ * is the first machine that may still take a task of this job: its tasks are all alike, room only
+ * gets less and zones only close, so one that was passed over need not be looked at again.
+ */
+static bool place_task(struct fl_provision_plan *plan, const struct fl_job *job, uint32_t *placed,
+                       int *next)
+{
+	struct fl_planned_machine *chosen;
 
-		if (fl_provision_job_allows(job, machine->type, machine->zone, machine->spot) &&
-		    task_fits(job, machine->cpus, machine->gpus, machine->ram_gb) &&
-		    zone_allows(job, placed, machine->zone))
-			chosen = machine;
+	while (*next < plan->count && !takes_task(&plan->machines[*next], job, placed)) {
+		plan->n->provision.looks++;
+		++*next;
 	}
-	if (!chosen)
-		chosen = fl_provision_plan_rental(plan, job, placed, -1);
+	plan->n->provision.looks++;
+	chosen = *next < plan->count ? &plan->machines[*next]
+	                             : fl_provision_plan_rental(plan, job, placed, -1);
 	if (!chosen)
 		return false;
 	chosen->cpus -= job->cpus;
@@ -165,6 +175,7 @@
 static void plan_job(struct fl_provision_plan *plan, const struct fl_job *job, uint32_t count)
 {
 	uint32_t placed[FL_ZONES_MAX];
+	int next = 0;
 
 	memcpy(placed, job->zone_placed, sizeof(placed));
 	count = limit_by_team(plan->n, job, count);
@@ -172,7 +183,7 @@
 		plan->ending_soon -= 1;
 		count--;
 	}
-	while (count > 0 && place_task(plan, job, placed))
+	while (count > 0 && place_task(plan, job, placed, &next))
 		count--;
 }
 
@@ -240,6 +251,7 @@
 
 	if (n->provision.renting)
 		return;
+	n->provision.looks = 0;
 	plan.capacity = n->cluster.machines.n + tunables.rentals_most + 1;
 	plan.machines = malloc((size_t)plan.capacity * sizeof(*plan.machines));
 	if (!plan.machines)
--- a/src/coordination/schedule_preempt.c
+++ b/src/coordination/schedule_preempt.c
@@ -132,7 +132,9 @@
 	    (terms.must_end_by && terms.must_end_by[machine_index] < job->est_s))
 		return INFINITY;
 	cost = select_victims(pass, job, machine_index, terms.entitlement, &n_victims);
-	if (terms.choice == MACHINES_WITH_IMAGE && cost > tunables.cached_loss_s)
+	/* Mostly there is no room to be made, and what a place would be worth need not be known. */
+	if (cost == INFINITY ||
+	    (terms.choice == MACHINES_WITH_IMAGE && cost > tunables.cached_loss_s))
 		return INFINITY;
 	return cost + fl_sched_placement_cost(pass->in, job, machine);
 }
--- a/tests/test_large_array.c
+++ b/tests/test_large_array.c
@@ -137,6 +137,24 @@
 	assert_int_equal(chunks_held(site->job), 0);
 }
 
+/* Its tasks are all alike: the plan of rentals looks at each machine once, not for each task. */
+static void a_plan_looks_once_at_each_machine(void **state)
+{
+	struct site *site = *state;
+	const uint32_t short_of = 20000;
+
+	for (int i = 0; i < MACHINES; i++) {
+		site->machine[i]->up = false;
+		site->machine[i]->created = fl_now();
+	}
+	site->node.cluster.machines.types[0].ready_s = 60;
+	site->node.cluster.machines.types[0].zones = 1;
+	fl_provision_shortage(&site->node, &site->job, &short_of, 1);
+	assert_true(site->node.provision.n_requests > 0);
+	assert_true(site->node.provision.looks > MACHINES);
+	assert_true(site->node.provision.looks <= MACHINES + 2L * (long)short_of);
+}
+
 /* Every chunk fits into a value, and the log holds a placement in few bytes. */
 static void records_stay_small(void **state)
 {
@@ -183,6 +201,8 @@
 	                                        tear_down),
 		cmocka_unit_test_setup_teardown(a_pass_looks_at_few_of_its_tasks, set_up,
 	                                        tear_down),
+		cmocka_unit_test_setup_teardown(a_plan_looks_once_at_each_machine, set_up,
+	                                        tear_down),
 		cmocka_unit_test_setup_teardown(records_stay_small, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(what_is_done_takes_a_range, set_up, tear_down),
 	};
