A machine whose runs are all of the job's priority or higher is not searched for victims

Cause: each job short of room looked at every run of every machine in each pass, though priority alone could stop none of them.

--- a/src/coordination/schedule.c
+++ b/src/coordination/schedule.c
@@ -23,6 +23,19 @@
 	pass->first_run[in->n_machines] = in->n_runs;
 }
 
+/* What a request by priority alone cannot stop need not be looked at run by run. */
+static void find_lowest_priorities(struct fl_sched_pass *pass)
+{
+	for (int i = 0; i < pass->in->n_machines; i++)
+		pass->lowest_priority[i] = FL_CRITICAL;
+	for (int i = 0; i < pass->in->n_runs; i++) {
+		const struct fl_sched_run *run = &pass->in->runs[i];
+
+		if (!run->stopping && (int)run->priority < pass->lowest_priority[run->machine])
+			pass->lowest_priority[run->machine] = (int)run->priority;
+	}
+}
+
 /* Starts a job's tasks, and requests room for the rest; `must_end_by` bounds a backfilled job. */
 static void consider_job(struct fl_sched_pass *pass, int job_index, const double *must_end_by)
 {
@@ -110,10 +123,11 @@
 	pass->victims = malloc(n_runs * sizeof(*pass->victims));
 	pass->first_run = calloc(n_machines, sizeof(*pass->first_run));
 	pass->run_by_machine = malloc(n_runs * sizeof(*pass->run_by_machine));
+	pass->lowest_priority = malloc(n_machines * sizeof(*pass->lowest_priority));
 	pass->out->short_of = calloc(n_jobs, sizeof(*pass->out->short_of));
 	if (!pass->order || !pass->rank || !pass->priority || !pass->releasing_cpus ||
 	    !pass->start_cost || !pass->victims || !pass->first_run || !pass->run_by_machine ||
-	    !pass->out->short_of)
+	    !pass->lowest_priority || !pass->out->short_of)
 		return false;
 	pass->releasing_gpus = pass->releasing_cpus + n_machines;
 	pass->releasing_ram_gb = pass->releasing_gpus + n_machines;
@@ -131,6 +145,7 @@
 	free(pass->victims);
 	free(pass->first_run);
 	free(pass->run_by_machine);
+	free(pass->lowest_priority);
 }
 
 int fl_schedule(struct fl_sched_in *in, struct fl_sched_out *out)
@@ -141,6 +156,7 @@
 	out->top = -1;
 	if (allocate(&pass)) {
 		index_runs(&pass);
+		find_lowest_priorities(&pass);
 		add_releasing(&pass);
 		fl_sched_sort_jobs(&pass);
 		run_order(&pass);
--- a/src/coordination/schedule_internal.h
+++ b/src/coordination/schedule_internal.h
@@ -19,6 +19,7 @@
 	double *priority; /* per job */
 	/* The runs of machine i are run_by_machine[first_run[i]] up to [first_run[i + 1]]. */
 	int *first_run, *run_by_machine;
+	int *lowest_priority; /* per machine: of its runs, those being stopped aside */
 	/* Per machine: what stops under way will free and no request of this pass has taken. */
 	double *releasing_cpus, *releasing_gpus, *releasing_ram_gb;
 	/* Per machine, for the job being considered; INFINITY: not possible there. */
--- a/src/coordination/schedule_preempt.c
+++ b/src/coordination/schedule_preempt.c
@@ -86,11 +86,15 @@
 	struct fl_amounts room = fl_sched_room_for(pass, job, machine_index);
 	double cpus = room.cpus, gpus = room.gpus, ram = room.ram_gb, cost = 0;
 	int n = 0, used = 0, *victims = pass->victims;
+	bool none = entitlement == ENTITLED_BY_PRIORITY &&
+	            pass->lowest_priority[machine_index] >= (int)job->priority;
+	int end = none ? pass->first_run[machine_index] : pass->first_run[machine_index + 1];
 
-	for (int k = pass->first_run[machine_index]; k < pass->first_run[machine_index + 1]; k++)
+	for (int k = pass->first_run[machine_index]; k < end; k++)
 		if (may_preempt(pass, job, &pass->in->runs[pass->run_by_machine[k]], entitlement))
 			victims[n++] = pass->run_by_machine[k];
-	qsort_r(victims, (size_t)n, sizeof(*victims), compare_losses, pass->in);
+	if (n > 1)
+		qsort_r(victims, (size_t)n, sizeof(*victims), compare_losses, pass->in);
 	while (used < n && !fl_sched_fits(job, cpus, gpus, ram)) {
 		const struct fl_sched_run *run = &pass->in->runs[victims[used++]];
 
