--- /dev/null
+++ b/tests/test_message_costs.c
@@ -0,0 +1,194 @@
+/*
+ * What a message costs in system calls, and an idle connection in memory, by counts. The calls are
+ * counted by functions of the same names in this program, which go before the library's.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include "protocol/json.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/routine.h"
+
+enum { MESSAGES = 200, IDLE_CONNECTIONS = 400, FIRST_MESSAGES = 3 };
+
+/*
+ * Memory of a connection that has been served once and is idle. The sanitizers' own records of
+ * stacks and blocks count as memory too.
+ */
+#if defined(__SANITIZE_ADDRESS__)
+enum { IDLE_BYTES_MOST = 32 * 1024 };
+#else
+enum { IDLE_BYTES_MOST = 10 * 1024 };
+#endif
+
+static struct {
+	long receives, sends, registrations;
+} calls;
+
+static struct {
+	char addr[32];
+	bool handler_waits;
+	long idle_bytes;
+} run;
+
+ssize_t recv(int fd, void *buf, size_t n, int flags)
+{
+	calls.receives++;
+	return syscall(SYS_recvfrom, fd, buf, n, flags, NULL, NULL);
+}
+
+ssize_t send(int fd, const void *buf, size_t n, int flags)
+{
+	calls.sends++;
+	return syscall(SYS_sendto, fd, buf, n, flags, NULL, 0);
+}
+
+int epoll_ctl(int epfd, int op, int fd, struct epoll_event *event)
+{
+	calls.registrations++;
+	return (int)syscall(SYS_epoll_ctl, epfd, op, fd, event);
+}
+
+/* As deep as a report is read: the stack below is touched. */
+static void on_request(void *ctx, const struct fl_request *req, struct fl_response *resp)
+{
+	cJSON *o = fl_json_parse(req->body, req->body_len);
+
+	(void)ctx;
+	if (run.handler_waits)
+		fl_sleep(0);
+	resp->status = o ? 200 : 400;
+	resp->body = fl_json_take(o ? o : cJSON_CreateObject());
+}
+
+static const char *const report =
+	"{\"Host\":\"m-000231\",\"Endpoint\":\"10.1.0.232:9000\",\"Tenure\":1,\"Parts\":["
+	"{\"Part\":\"run-000412/3\",\"Try\":2,\"Status\":\"running\"},"
+	"{\"Part\":\"run-000398/0\",\"Try\":1,\"Status\":\"ended\",\"ExitReason\":\"done\"}]}";
+
+static void exchange(struct fl_http_client *c)
+{
+	struct fl_reply reply;
+
+	assert_int_equal(fl_http_call(c, "POST", "/hello", report, 10, &reply), 0);
+	assert_int_equal(reply.status, 200);
+	fl_buf_free(&reply.body);
+}
+
+static void exchange_messages(void *arg)
+{
+	struct fl_http_client c;
+
+	(void)arg;
+	assert_int_equal(fl_http_client_init(&c, run.addr, 1), 0);
+	for (int i = 0; i < FIRST_MESSAGES; i++)
+		exchange(&c);
+	memset(&calls, 0, sizeof(calls));
+	for (int i = 0; i < MESSAGES; i++)
+		exchange(&c);
+	fl_http_client_close(&c);
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+static void with_server(void (*routine)(void *), int connections)
+{
+	struct fl_http_server *server;
+
+	fl_routines_init(ev_default_loop(0));
+	server = fl_http_serve("127.0.0.1:0", connections, 90, on_request, NULL);
+	assert_non_null(server);
+	snprintf(run.addr, sizeof(run.addr), "127.0.0.1:%d", fl_http_server_port(server));
+	fl_spawn(routine, NULL);
+	fl_routines_run();
+	fl_routines_shutdown();
+	free(server);
+}
+
+/*
+ * Found with 3% of a core: beside its read and its write each message cost a read of nothing and
+ * one or two registrations. Both ends are counted: two reads and two writes an exchange, and the
+ * client, which gives its connection back to be used by others, registers anew.
+ */
+static void a_message_costs_one_read_and_no_registration(void **state)
+{
+	(void)state;
+	run.handler_waits = false;
+	with_server(exchange_messages, 16);
+	assert_int_equal(calls.receives, 2 * MESSAGES);
+	assert_int_equal(calls.sends, 2 * MESSAGES);
+	assert_true(calls.registrations <= MESSAGES + FIRST_MESSAGES);
+}
+
+/* A server's connection keeps its registration while the answer is waited for, too. */
+static void a_wait_for_the_answer_costs_no_registration(void **state)
+{
+	(void)state;
+	run.handler_waits = true;
+	with_server(exchange_messages, 16);
+	assert_int_equal(calls.receives, 2 * MESSAGES);
+	assert_true(calls.registrations <= MESSAGES + FIRST_MESSAGES);
+}
+
+static long resident_bytes(void)
+{
+	FILE *f = fopen("/proc/self/statm", "r");
+	long size, resident;
+
+	assert_non_null(f);
+	assert_int_equal(fscanf(f, "%ld %ld", &size, &resident), 2);
+	fclose(f);
+	return resident * sysconf(_SC_PAGESIZE);
+}
+
+static void open_connections(void *arg)
+{
+	static struct fl_http_client clients[IDLE_CONNECTIONS];
+	long before;
+
+	(void)arg;
+	assert_int_equal(fl_http_client_init(&clients[0], run.addr, 1), 0);
+	exchange(&clients[0]);
+	before = resident_bytes();
+	for (int i = 1; i < IDLE_CONNECTIONS; i++) {
+		assert_int_equal(fl_http_client_init(&clients[i], run.addr, 1), 0);
+		exchange(&clients[i]);
+	}
+	run.idle_bytes = (resident_bytes() - before) / (IDLE_CONNECTIONS - 1);
+	for (int i = 0; i < IDLE_CONNECTIONS; i++)
+		fl_http_client_close(&clients[i]);
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+/* 1,500 of them must fit into 46 MB, beside all else. */
+static void an_idle_connection_holds_little_memory(void **state)
+{
+	(void)state;
+	run.handler_waits = false;
+	assert_true(fl_sockets_allow(3 * IDLE_CONNECTIONS) >= 2 * IDLE_CONNECTIONS + 16);
+	with_server(open_connections, IDLE_CONNECTIONS + 16);
+	print_message("%ld bytes an idle connection\n", run.idle_bytes);
+	assert_true(run.idle_bytes > 0);
+	assert_true(run.idle_bytes <= IDLE_BYTES_MOST);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_message_costs_one_read_and_no_registration),
+		cmocka_unit_test(a_wait_for_the_answer_costs_no_registration),
+		cmocka_unit_test(an_idle_connection_holds_little_memory),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
