Test: 4,008 machines with full load through start, takeover and an end of all controllers

The simulation's sizes follow the test, its cloud lists in pages, and its state service checks what the real one would refuse. Digests may take 128 records: 4,000 machines at forty to a value are 100.

--- a/src/coordination/report_digest.h
+++ b/src/coordination/report_digest.h
@@ -24,8 +24,8 @@
 	bool stored; /* went into a digest already */
 };
 
-/* Most records that one node's digests take. */
-enum { FL_DIGESTS_MAX = 64 };
+/* Most records that one node's digests take: 4,000 machines, forty to a value of 4 KiB. */
+enum { FL_DIGESTS_MAX = 128 };
 
 /* A record of ours in the state service. */
 struct fl_digest_slot {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -21,14 +21,17 @@
 	SIM_NODES = 5,
 	SIM_ZONES = 3,
 	SIM_MACHINE_TYPES = 2,
-	SIM_MACHINES = 160,
-	SIM_JOBS = 400,
 	SIM_USUAL_JOBS = 96, /* what bursts and odd requests stop at */
-	SIM_JOB_TASKS = 32,
-	SIM_TASKS = 1024,
 	SIM_TROUBLES = 64
 };
 
+/* Machines and jobs at most, tasks of a job, and tasks on a machine, exited ones included. */
+#ifdef SIM_LARGE_SITE
+enum { SIM_MACHINES = 4400, SIM_JOBS = 32, SIM_JOB_TASKS = 512, SIM_TASKS = 16 };
+#else
+enum { SIM_MACHINES = 160, SIM_JOBS = 400, SIM_JOB_TASKS = 32, SIM_TASKS = 1024 };
+#endif
+
 /* Holds in every build, also where assert() is compiled out. */
 static inline void sim_must(bool holds)
 {
@@ -83,7 +86,7 @@
 
 /* ---- hosts and messages ---- */
 
-enum sim_kind { END_USER, END_STATE, END_CLOUD, END_NODE, END_PEER, END_WORKER };
+enum sim_kind { END_USER, END_STATE, END_CLOUD, END_NODE, END_PEER, END_WORKER, SIM_KINDS };
 struct sim_end {
 	enum sim_kind kind;
 	int at;
@@ -186,7 +189,7 @@
 	double cpus, cpus_max, gpus, gpus_max;
 };
 enum { SIM_TEAMS = 2 };
-extern const struct sim_team sim_teams[SIM_TEAMS];
+extern struct sim_team sim_teams[SIM_TEAMS];
 
 struct sim_job {
 	struct fl_job_spec run;
@@ -246,9 +249,12 @@
 	int n_jobs;
 	struct sim_machine machine[SIM_MACHINES];
 	int n_machines;
-	int most_starts; /* of one task */
-	int changes;     /* puts and deletions in the state service */
-	int max_changes; /* of them for each job; 0: not bounded */
+	int capacity;         /* machines of each type, zone and kind of rental */
+	bool reliable;        /* every machine boots as it should, and stays */
+	int most_starts;      /* of one task */
+	int changes;          /* puts and deletions in the state service */
+	int max_changes;      /* of them for each job; 0: not bounded */
+	int calls[SIM_KINDS]; /* that arrived, by who was called */
 	int failures, starts, completions, late_starts, polls;
 	char report[8192];
 };
@@ -256,6 +262,10 @@
 
 double sim_time(void); /* s from the beginning */
 int sim_node_zone(int node);
+/* The settings of a node, by the site's numbers in `sim`. */
+void sim_configure(int node);
+/* Frees what a play has left. */
+void sim_end(void);
 
 void sim_state_begin(void);
 void sim_state_end(void);
--- a/tests/sim_cloud.c
+++ b/tests/sim_cloud.c
@@ -8,7 +8,7 @@
 #include "protocol/json.h"
 #include "transport/clock.h"
 
-enum { RENTALS = 512, CAPACITY = 3 };
+enum { RENTALS = 512, PAGE = 500 };
 
 const struct sim_machine_type sim_machine_types[SIM_MACHINE_TYPES] = {
 	{"c32", 32, 0, 128, 4.0, 6},
@@ -121,13 +121,13 @@
 	m->zone = zone;
 	m->spot = spot;
 	m->rented = fl_now();
-	m->never_up = sim_chance(0.04);
+	m->never_up = sim_chance(0.04) && !sim.reliable;
 	/* At times up within a second or two: long before it is listed. */
 	m->ready = fl_now() + (sim_chance(0.2)
 	                               ? sim_between(0.5, 2)
 	                               : sim_between(0.6, 1.5) * sim_machine_types[type].ready_s);
 	odd_boot(m);
-	if (spot && sim_chance(0.15))
+	if (spot && sim_chance(0.15) && !sim.reliable)
 		m->reclaim_at = fl_now() + sim_between(30, 120);
 	sim_worker_boot(sim.n_machines++);
 }
@@ -167,7 +167,7 @@
 			hosts_of(&cl.rental[i], resp);
 			return;
 		}
-	room = CAPACITY - rented(k, z, spot);
+	room = sim.capacity - rented(k, z, spot);
 	if (room <= 0) {
 		trouble(resp, "no capacity");
 		return;
@@ -223,8 +223,10 @@
 	double then = fl_now() - sim_between(0, sim_chance(0.1) ? 2 : 1) * sim.config[0].list_lag_s;
 	cJSON *o = cJSON_CreateObject(), *hosts = cJSON_AddArrayToObject(o, "Hosts");
 	const char *from = strstr(req->query, "From=");
+	bool more = false;
+	int count = 0;
 
-	for (int i = 0; i < sim.n_machines; i++) {
+	for (int i = 0; i < sim.n_machines && !more; i++) {
 		struct sim_machine *m = &sim.machine[i];
 		char addr[FL_CONFIG_NAME];
 		cJSON *e;
@@ -233,6 +235,9 @@
 			continue;
 		if (!is_listed(m, then))
 			continue;
+		more = ++count > PAGE;
+		if (more)
+			break;
 		e = cJSON_CreateObject();
 		sim_address((struct sim_end){END_WORKER, i}, addr);
 		cJSON_AddStringToObject(e, "Ref", m->name);
@@ -247,7 +252,7 @@
 		cJSON_AddNumberToObject(e, "AgeS", then > m->rented ? then - m->rented : 0);
 		cJSON_AddItemToArray(hosts, e);
 	}
-	cJSON_AddBoolToObject(o, "More", false);
+	cJSON_AddBoolToObject(o, "More", more);
 	say(resp, 200, o);
 }
 
--- a/tests/sim_net.c
+++ b/tests/sim_net.c
@@ -138,6 +138,7 @@
 
 	if (query)
 		*query = 0;
+	sim.calls[c->to.kind]++;
 	if (!fl_cancelled())
 		dispatch(c, &req);
 	if (net.over || c->resp.status == SIM_SILENCE)
--- a/tests/sim_state.c
+++ b/tests/sim_state.c
@@ -183,6 +183,25 @@
 	return false;
 }
 
+/* What the real service would refuse. */
+static void check_limits(const cJSON *o)
+{
+	const struct fl_config *c = &sim.config[0];
+	const cJSON *ops = fl_json_get(o, "Apply"), *e;
+
+	if (cJSON_GetArraySize(ops) > c->txn_ops ||
+	    cJSON_GetArraySize(fl_json_get(o, "When")) > 4 * c->txn_ops)
+		sim_broken("transaction", "%d changes, %d conditions", cJSON_GetArraySize(ops),
+		           cJSON_GetArraySize(fl_json_get(o, "When")));
+	cJSON_ArrayForEach (e, ops) {
+		char *value = cJSON_PrintUnformatted(fl_json_get(e, "V"));
+
+		if (value && (double)strlen(value) > c->value_kb * 1024)
+			sim_broken("value", "a value of %zu bytes", strlen(value));
+		free(value);
+	}
+}
+
 static void apply(const cJSON *ops)
 {
 	const cJSON *e;
@@ -210,6 +229,7 @@
 	cJSON *out = cJSON_CreateObject(), *failed = cJSON_CreateArray();
 	const cJSON *e;
 
+	check_limits(o);
 	cJSON_ArrayForEach (e, fl_json_get(o, "When")) {
 		char name[SIM_KEY] = "";
 		uint64_t rev = 0;
--- a/tests/sim_users.c
+++ b/tests/sim_users.c
@@ -18,7 +18,7 @@
 	int asks;                /* polls in a row of one who cannot wait */
 } rule = {5.0, 2.0, 5.0, 15.0, 1.0, 60.0, 10};
 
-const struct sim_team sim_teams[SIM_TEAMS] = {
+struct sim_team sim_teams[SIM_TEAMS] = {
 	{"vision", 64, 128, 4, 10},
 	{"speech", 48, 96, 4, 8},
 };
--- a/tests/test_fault_combinations.c
+++ b/tests/test_fault_combinations.c
@@ -23,55 +23,6 @@
 
 /* ---- settings ---- */
 
-int sim_node_zone(int node) { return node % sim.n_zones; }
-
-static void configure(struct fl_config *c, int node)
-{
-	static const char *const zones[SIM_ZONES] = {"a", "b", "c"};
-
-	memset(c, 0, sizeof(*c));
-	snprintf(c->node, sizeof(c->node), "host-%d", node + 1);
-	sim_copy(c->location, sizeof(c->location), zones[sim_node_zone(node)]);
-	sim_address((struct sim_end){END_NODE, node}, c->bind);
-	sim_address((struct sim_end){END_PEER, node}, c->cluster_listen);
-	sim_address((struct sim_end){END_STATE, 0}, c->state);
-	sim_address((struct sim_end){END_CLOUD, 0}, c->cloud);
-	for (int i = 0; i < sim.n_nodes; i++) {
-		struct fl_config_peer *p = &c->peers[c->n_peers];
-
-		if (i == node)
-			continue;
-		snprintf(p->node, sizeof(p->node), "host-%d", i + 1);
-		sim_copy(p->location, sizeof(p->location), zones[sim_node_zone(i)]);
-		sim_address((struct sim_end){END_PEER, i}, p->addr);
-		c->n_peers++;
-	}
-	for (c->n_zones = 0; c->n_zones < sim.n_zones; c->n_zones++)
-		sim_copy(c->zones[c->n_zones], sizeof(c->zones[c->n_zones]), zones[c->n_zones]);
-	for (int i = 0; i < SIM_TEAMS; i++) {
-		const struct sim_team *t = &sim_teams[i];
-		struct fl_config_team *to = &c->teams[c->n_teams++];
-
-		sim_copy(to->name, sizeof(to->name), t->name);
-		to->cpus = t->cpus;
-		to->cpus_max = t->cpus_max;
-		to->gpus = t->gpus;
-		to->gpus_max = t->gpus_max;
-	}
-	c->report_s = sim.report_s;
-	c->lease_s = sim.lease_s;
-	c->cancel_s = sim.cancel_s;
-	c->state_rps = 220;
-	c->state_write_rps = 70;
-	c->value_kb = 4;
-	c->txn_ops = 16;
-	c->cloud_rps = 4;
-	c->list_lag_s = 5;
-	c->core_share = 1;
-	c->ram_mb = 64;
-	c->max_connections = 400;
-}
-
 static void set_up(uint64_t seed, const char *name)
 {
 	bool longer;
@@ -84,10 +35,11 @@
 	sim.n_nodes = 3 + sim_pick(3);
 	sim.n_zones = 2 + sim_pick(2);
 	sim.report_s = 1.5;
+	sim.capacity = 3;
 	sim.lease_s = longer ? 14 : 10;
 	sim.cancel_s = longer ? 44 : 40;
 	for (int i = 0; i < sim.n_nodes; i++)
-		configure(&sim.config[i], i);
+		sim_configure(i);
 	for (int i = 15 + sim_pick(11); i > 0; i--)
 		sim_job_add(sim_between(0, 45));
 }
@@ -160,12 +112,7 @@
 		for (int i = 0; i < sim.n_jobs; i++)
 			describe(&sim.job[i]);
 	}
-	sim_net_end();
-	sim_state_end();
-	sim_cloud_end();
-	sim_reports_end();
-	for (int i = 0; i < sim.n_jobs; i++)
-		free(sim.job[i].text);
+	sim_end();
 }
 
 struct one {
--- /dev/null
+++ b/tests/test_large_site.c
@@ -0,0 +1,168 @@
+/*
+ * A site of some 4,000 machines with full load: start, reports, decisions, a takeover, the end of
+ * all controllers, and a cloud list of many pages. No limit of ours stands below that, no record or
+ * transaction grows beyond the state service's, and the work is bounded by counts. Virtual time.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/json.h"
+#include "protocol/users.h"
+#include "sim.h"
+#include "transport/clock.h"
+#include "transport/log.h"
+
+enum {
+	CAPACITY = 350, /* machines of each type, zone and kind of rental; 4,200 in all */
+	JOBS = 16,
+	TASKS_A_JOB = 501,
+	TASKS_A_MACHINE = 2,
+	TASKS = JOBS * TASKS_A_JOB,
+	MACHINES = TASKS / TASKS_A_MACHINE, /* 4,008 */
+	FAR_BEYOND = 1000000
+};
+
+static const double full_s = 110; /* s after which everything has begun */
+static const double leader_ends_s = 115, all_end_s = 145, end_s = 200;
+
+struct sim sim;
+
+static void configure(void)
+{
+	memset(&sim, 0, sizeof(sim));
+	sim.seed = 4000;
+	sim.name = "large site";
+	sim_seed(sim.seed);
+	sim.n_nodes = SIM_NODES;
+	sim.n_zones = SIM_ZONES;
+	sim.capacity = CAPACITY;
+	sim.reliable = true;
+	/* As seldom as the number of reports in the test asks for. */
+	sim.report_s = 10;
+	sim.lease_s = 40;
+	sim.cancel_s = 100;
+	for (int i = 0; i < SIM_TEAMS; i++)
+		sim_teams[i].cpus_max = sim_teams[i].gpus_max = FAR_BEYOND;
+	for (int i = 0; i < sim.n_nodes; i++) {
+		sim_configure(i);
+		sim.config[i].max_connections = 1500;
+	}
+}
+
+/* An array whose tasks fit twice on each machine, and outlive the test. */
+static void add_job(void)
+{
+	struct sim_job *job = sim_job_add(sim_between(0, 5));
+	struct fl_job_spec *r = &job->run;
+
+	r->kind = FL_ARRAY;
+	r->priority = FL_STANDARD;
+	r->n_tasks = TASKS_A_JOB;
+	r->cpus = sim_machine_types[0].cpus / TASKS_A_MACHINE;
+	r->gpus = 0;
+	r->ram_gb = sim_machine_types[0].ram_gb / TASKS_A_MACHINE;
+	r->image_gb = 0.5;
+	r->n_machine_types = -1;
+	r->has_zone = r->together = r->apart = false;
+	r->reclaimable = true;
+	r->expected_s = 10 * end_s;
+	r->checkpoint_every_s = 0;
+	job->cancel = -1;
+	for (int i = 0; i < SIM_JOB_TASKS; i++)
+		job->real_s[i] = r->expected_s;
+	sim_job_rewritten(job);
+}
+
+static int set_up(void **state)
+{
+	(void)state;
+	sim_time_begin();
+	configure();
+	for (int i = 0; i < JOBS; i++)
+		add_job();
+	sim.begin = fl_now();
+	sim.calm_s = end_s - 1;
+	sim_trouble(NODE_DOWN, leader_ends_s, 8, THE_LEADER, 0, 0);
+	sim_trouble(NODE_DOWN, all_end_s, 8, ALL_NODES, 0, 0);
+	sim_state_begin();
+	sim_workers_begin();
+	for (int i = 0; i < sim.n_nodes; i++)
+		sim_node_start(i);
+	sim_users_begin();
+	sim_check_begin();
+	sim_troubles_start();
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	sim_end();
+	return 0;
+}
+
+/* Machines that are up and run as many tasks as they hold. */
+static int machines_full(void)
+{
+	int count = 0;
+
+	for (int i = 0; i < sim.n_machines; i++) {
+		const struct sim_machine *m = &sim.machine[i];
+		int running = 0;
+
+		for (int k = 0; k < m->n_tasks; k++)
+			running += m->task[k].used && m->task[k].report.state == FL_EXECUTING;
+		count += m->up && !m->gone && running == TASKS_A_MACHINE;
+	}
+	return count;
+}
+
+static void run_until(double seconds) { sim_time_run(sim.begin + seconds); }
+
+/* Seen were 984 changes, 3,767 requests, 568 calls, and 61,911 messages for 94,616 reports. */
+static void check_work(void)
+{
+	print_message("%d changes, %d requests of the state service, %d calls of the cloud, %d "
+	              "messages of peers for %d reports and users' calls\n",
+	              sim.changes, sim.calls[END_STATE], sim.calls[END_CLOUD], sim.calls[END_PEER],
+	              sim.calls[END_NODE]);
+	assert_true(sim.changes <= TASKS / 6);
+	assert_true(sim.calls[END_STATE] <= 5000);
+	assert_true(sim.calls[END_CLOUD] <= (int)(sim.config[0].cloud_rps * end_s));
+	assert_true(sim.calls[END_PEER] < sim.calls[END_NODE]);
+}
+
+static void four_thousand_machines_are_known_and_used(void **state)
+{
+	(void)state;
+	run_until(full_s);
+	assert_int_equal(machines_full(), MACHINES);
+	assert_int_equal(sim.starts, TASKS);
+	run_until(end_s);
+	/* Through a takeover and the end of all controllers nothing is lost or begun again. */
+	assert_int_equal(machines_full(), MACHINES);
+	assert_int_equal(sim.starts, TASKS);
+	for (int i = 0; i < sim.n_machines; i++)
+		assert_int_equal(sim.machine[i].session, 1);
+	sim_check_end();
+	if (sim.failures > 0)
+		fail_msg("%d rules broken\n%s", sim.failures, sim.report);
+	check_work();
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(four_thousand_machines_are_known_and_used, set_up,
+	                                        tear_down),
+	};
+
+	fl_log_set_level(getenv("SIM_LOG") ? getenv("SIM_LOG") : "error");
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
