503 while memory is short, before anything is accepted; settings too small are refused

A share, memory or socket limit that is zero, negative, no number or too small to serve is a named error at the start; a tight one is logged with what it will cost.

--- a/src/config.c
+++ b/src/config.c
@@ -11,6 +11,15 @@
 #include "transport/http.h"
 #include "transport/text.h"
 
+/* With less than these a controller cannot serve at all. */
+static const struct {
+	double core_share, ram_mb, connections;
+} least = {
+	.core_share = 0.005, /* of a core; the exchange with four others alone takes 0.004 */
+	.ram_mb = 16,        /* MB; the program takes 6, and a whole list of records some more */
+	.connections = 64,   /* 48 are for state service, cloud and commands */
+};
+
 struct reader {
 	const char *file;
 	char *error;
@@ -224,9 +233,10 @@
 	}
 	t = get_table(r, s, "settings.", "resources");
 	if (t) {
-		get_num(r, t, "settings.resources.", "core_share", 0.001, 1024, &c->core_share);
-		get_num(r, t, "settings.resources.", "ram_mb", 1, 1e9, &c->ram_mb);
-		get_int(r, t, "settings.resources.", "max_connections", 16, 1e6,
+		get_num(r, t, "settings.resources.", "core_share", least.core_share, 1024,
+		        &c->core_share);
+		get_num(r, t, "settings.resources.", "ram_mb", least.ram_mb, 1e9, &c->ram_mb);
+		get_int(r, t, "settings.resources.", "max_connections", least.connections, 1e6,
 		        &c->max_connections);
 	}
 }
--- /dev/null
+++ b/src/coordination/admission.h
@@ -0,0 +1,23 @@
+/*
+ * What a controller of this size can take: settings that are tight are named at the start, and
+ * while memory is short new jobs are turned away before anything is accepted.
+ */
+#ifndef FL_COORDINATION_ADMISSION_H
+#define FL_COORDINATION_ADMISSION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "config.h"
+
+/* Whether there is memory for one more job, with all that is accepted already. */
+bool fl_admission_has_memory(const struct fl_config *c);
+/* Bytes that the bodies of all requests being received may take together. */
+size_t fl_admission_body_bytes(const struct fl_config *c);
+/*
+ * A text that names a tight setting and what it costs; false: none is. `at` counts from 0, so that
+ * all of them can be had.
+ */
+bool fl_admission_tight(const struct fl_config *c, int at, char *text, size_t cap);
+
+#endif
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "coordination/admission.h"
 #include "coordination/command.h"
 #include "coordination/report_relay.h"
 #include "coordination/submission.h"
@@ -292,6 +293,14 @@
 	return rest > least ? rest : least;
 }
 
+static void log_tight_settings(const struct fl_config *config)
+{
+	char text[256];
+
+	for (int at = 0; fl_admission_tight(config, at, text, sizeof(text)); at++)
+		fl_error("node", "%s", text);
+}
+
 int fl_node_start(const struct fl_config *config)
 {
 	struct fl_node *n = calloc(1, sizeof(*n));
@@ -299,6 +308,8 @@
 	double idle_s = fmax(tunables.idle_least_s, tunables.idle_reports * config->report_s);
 	int allowed = fl_sockets_allow(config->max_connections + tunables.own_conns);
 
+	log_tight_settings(config);
+	fl_http_limit_bodies(fl_admission_body_bytes(config));
 	if (allowed < config->max_connections)
 		fl_error("node", "max_connections is %d, but the system allows %d open files",
 		         config->max_connections, allowed);
--- a/src/coordination/submission.c
+++ b/src/coordination/submission.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "coordination/admission.h"
 #include "coordination/node.h"
 #include "coordination/user_calls.h"
 #include "transport/clock.h"
@@ -207,6 +208,16 @@
 	}
 }
 
+/* For want of memory: a repeat of an accepted job is answered all the same. */
+static void turn_away(struct fl_node *n, const struct fl_job_spec *run, enum fl_hop hop,
+                      struct fl_response *resp)
+{
+	if (answer_known(n, run->ref, hop, resp) == 1)
+		return;
+	fl_later(resp, "memory is short at the moment");
+	fl_info("jobs", "%s turned away: memory is short", run->ref);
+}
+
 /* Stores a job that may run, here or by the leader. */
 static void accept_job(struct fl_node *n, const struct fl_job_spec *run, enum fl_hop hop,
                        struct fl_response *resp)
@@ -260,6 +271,8 @@
 	why = never(n, &run);
 	if (why)
 		refuse_never(n, &run, why, hop, resp);
+	else if (!fl_admission_has_memory(n->config))
+		turn_away(n, &run, hop, resp);
 	else
 		accept_job(n, &run, hop, resp);
 }
--- a/src/transport/http.c
+++ b/src/transport/http.c
@@ -68,15 +68,38 @@
 	return fl_buf_add(&m->url, at, n) ? 1 : 0;
 }
 
+/* The bodies of requests that are being read or served. */
+static struct {
+	size_t held, most;
+} bodies;
+
+void fl_http_limit_bodies(size_t bytes) { bodies.most = bytes; }
+
+static bool reserve(struct fl_msg *m, size_t bytes)
+{
+	if (bodies.most > 0 && bytes > 0 && bodies.held + bytes > bodies.most)
+		return false;
+	bodies.held += bytes;
+	m->reserved = bytes;
+	return true;
+}
+
 static int on_headers(http_parser *p)
 {
 	struct fl_msg *m = p->data;
+	bool length_known = p->content_length != ULLONG_MAX;
+	size_t bytes = length_known ? (size_t)p->content_length : 0;
 
-	if (p->content_length != ULLONG_MAX && p->content_length > m->max_body) {
+	if (length_known && p->content_length > m->max_body) {
 		m->too_large = true;
 		return -1;
 	}
-	return 0;
+	if (p->type != HTTP_REQUEST)
+		return 0;
+	if (p->flags & F_CHUNKED)
+		bytes = m->max_body;
+	m->no_room = !reserve(m, bytes);
+	return m->no_room ? -1 : 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t n)
@@ -119,6 +142,8 @@
 {
 	fl_buf_free(&m->url);
 	fl_buf_free(&m->body);
+	bodies.held -= m->reserved;
+	m->reserved = 0;
 }
 
 /*
@@ -159,6 +184,8 @@
 		done = http_parser_execute(&m->parser, &callbacks, chunk, (size_t)n);
 		if (m->too_large)
 			return -EMSGSIZE;
+		if (m->no_room)
+			return -ENOBUFS;
 		if (m->complete)
 			break;
 		if (n == 0)
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -25,8 +25,9 @@
 	http_parser parser;
 	struct fl_buf url, body;
 	size_t max_body;
-	double rest_s; /* s for the rest, once a message has begun; 0: as long as for all of it */
-	bool complete, too_large, started;
+	size_t reserved; /* bytes of a request's body, of what all may take together */
+	double rest_s;   /* s for the rest, once a message has begun; 0: as long as for all of it */
+	bool complete, too_large, no_room, started;
 	bool keep_alive;
 };
 
@@ -34,7 +35,15 @@
 void fl_msg_init(struct fl_msg *m, enum http_parser_type type, size_t max_body);
 /* Frees what the message holds. */
 void fl_msg_free(struct fl_msg *m);
-/* Reads one whole message: 0, or -ECONNRESET, -EPROTO, -EMSGSIZE, -ETIMEDOUT, -ECANCELED. */
+/*
+ * The bytes that the bodies of all requests may take together while they are read; 0: no limit. A
+ * thousand connections that send 64 KiB each must not end the process.
+ */
+void fl_http_limit_bodies(size_t bytes);
+/*
+ * Reads one whole message: 0, or -ECONNRESET, -EPROTO, -EMSGSIZE, -ENOBUFS (no room among the
+ * bodies now), -ETIMEDOUT, -ECANCELED.
+ */
 int fl_msg_read(struct fl_msg *m, int fd, double timeout_s);
 
 /* Writes everything before `timeout_s` is over. */
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -15,12 +15,13 @@
 	double write_s;
 	size_t max_body;
 	double pause_s, rest_s;
-	int nearly;
+	int nearly, later_s;
 } tunables = {
 	.write_s = 5.0,                /* s; users wait 2 to 5 s, so a longer write helps nobody */
 	.max_body = (size_t)64 * 1024, /* bytes; the protocol's limit */
 	.pause_s = 0.05,               /* s; wait after a failed accept, so that it does not spin */
 	.rest_s = 4.0, /* s for the rest of a request; no caller waits longer for its answer */
+	.later_s = 1,  /* s; Retry-After where there is no room for a body */
 	.nearly = 32,  /* part (one in so many) of the connections that is for one answer each */
 };
 
@@ -104,9 +105,11 @@
 	}
 }
 
-static void refuse_broken(int fd, const char *why, bool drain)
+static void refuse_unread(int fd, int status, const char *why, bool drain)
 {
-	struct fl_response resp = {.status = 400, .body = (char *)why};
+	struct fl_response resp = {.status = status,
+	                           .body = (char *)why,
+	                           .retry_after_s = status == 503 ? tunables.later_s : 0};
 
 	send_response(fd, &resp, false);
 	/* Let the answer reach a peer that is still writing its body. */
@@ -137,7 +140,10 @@
 	rc = fl_msg_read(&msg, c->fd, c->server->idle_s);
 	why = broken(&msg, rc);
 	if (why)
-		refuse_broken(c->fd, why, rc == -EMSGSIZE);
+		refuse_unread(c->fd, 400, why, rc == -EMSGSIZE);
+	else if (rc == -ENOBUFS)
+		refuse_unread(c->fd, 503, "{\"error\":\"too much is being sent at the moment\"}",
+		              true);
 	if (rc || caller_has_gone(c->fd))
 		goto out;
 	query = strchr(msg.url.data ? msg.url.data : "", '?');
--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -63,6 +63,7 @@
 	struct ev_prepare prepare;
 	struct ev_idle more; /* active: some are still ready, so the loop must not sleep */
 	struct fl_routine *all, *current;
+	int n_all;
 	struct queue ready, urgent;
 	struct queue deferred; /* run when nothing else is ready, and one at the end of a turn */
 	int n_deferred;
@@ -218,6 +219,7 @@
 	if (r->next)
 		r->next->prev = r->prev;
 	ev_io_stop(rt.loop, &r->io);
+	rt.n_all--;
 	stack_put(r->stack);
 	free(r);
 }
@@ -324,6 +326,7 @@
 	if (rt.all)
 		rt.all->prev = r;
 	rt.all = r;
+	rt.n_all++;
 	make_ready(r, 0);
 	return r;
 }
@@ -348,6 +351,8 @@
 	return park() == 0;
 }
 
+int fl_routines_count(void) { return rt.n_all; }
+
 bool fl_routines_behind(void) { return ev_is_active(&rt.more); }
 
 bool fl_cancelled(void) { return rt.current && rt.current->cancelled; }
--- a/src/transport/routine.h
+++ b/src/transport/routine.h
@@ -34,6 +34,8 @@
  * routines are waiting like that already, or this one is cancelled.
  */
 bool fl_defer(int max_waiting);
+/* How many there are. */
+int fl_routines_count(void);
 /* More is ready than one turn could run: what comes in now waits. */
 bool fl_routines_behind(void);
 
--- a/tests/frontend_fixture.c
+++ b/tests/frontend_fixture.c
@@ -100,6 +100,7 @@
 	strcpy(fixture->config.node, "n0");
 	fixture->config.lease_s = 10;
 	fixture->config.cancel_s = 40;
+	fixture->config.ram_mb = 1024;
 	fl_names_add(&node->cluster.zones, "a");
 	fl_names_add(&node->cluster.zones, "b");
 	fl_machine_types_set(&node->cluster.machines, &node->cluster.zones, types, 3);
--- a/tests/sim_check.c
+++ b/tests/sim_check.c
@@ -27,14 +27,15 @@
 
 void sim_broken(const char *name, const char *fmt, ...)
 {
-	size_t used = strlen(sim.report);
 	char text[256];
 	va_list ap;
+	size_t used;
 
-	sim.failures++;
 	va_start(ap, fmt);
 	vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
+	sim.failures++;
+	used = strlen(sim.report);
 	snprintf(sim.report + used, sizeof(sim.report) - used, "  %8.2f s  %s: %s\n", sim_time(),
 	         name, text);
 }
--- a/tests/sim_clock.c
+++ b/tests/sim_clock.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "transport/clock.h"
+#include "transport/memory.h"
 
 /* Both clocks begin somewhere: nothing may take them for spans since a start. */
 static const double steady_begin = 5000, wall_begin = 1.7e9, tick = 1e-6;
@@ -20,6 +21,9 @@
 
 double fl_wall(void) { return clocks.now - steady_begin + wall_begin; }
 
+/* One process holds several controllers: what one of them does is not known. */
+size_t fl_memory_in_use(void) { return 0; }
+
 /* Virtual time passes between pieces of work, not within them. */
 double fl_cpu_time(void) { return 0; }
 
--- a/tests/test_submit.c
+++ b/tests/test_submit.c
@@ -138,10 +138,40 @@
 		fail_msg("%s", fixture->failed);
 }
 
+/* Turned away before anything is stored, with when to come back; what is malformed is said. */
+static void submit_without_memory(void *arg)
+{
+	struct fixture *fixture = arg;
+	int retry_after = 0;
+
+	fixture->config.ram_mb = 1;
+	if (submit(fixture, "", &retry_after) != 503 || retry_after <= 0)
+		strcpy(fixture->failed, "accepted without memory");
+	expect_status(fixture, "\"Parts\":0", 400, "without memory");
+	expect_status(fixture, "\"Site\":\"z\"", 422, "without memory");
+	fixture->known = true;
+	expect_status(fixture, "", 200, "known, without memory");
+	fixture->known = false;
+	fixture->config.ram_mb = 1024;
+	expect_status(fixture, "", 201, "with memory");
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+static void no_job_is_taken_that_memory_does_not_hold(void **state)
+{
+	struct fixture *fixture = *state;
+
+	fl_spawn(submit_without_memory, fixture);
+	fl_routines_run();
+	if (fixture->failed[0])
+		fail_msg("%s", fixture->failed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		FRONTEND_TEST(a_verdict_does_not_depend_on_what_is_reachable),
+		FRONTEND_TEST(no_job_is_taken_that_memory_does_not_hold),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -14,6 +14,7 @@
 
 #include "storage/records.h"
 #include "config.h"
+#include "coordination/admission.h"
 #include "coordination/node.h"
 #include "transport/clock.h"
 #include "transport/http_client.h"
@@ -195,7 +196,7 @@
 		n = recv(fd, line, cap - 1, 0);
 		line[n > 0 ? n : 0] = 0;
 	}
-	close(fd);
+	fl_close(fd);
 }
 
 static void send_short_bodies(void *arg)
@@ -229,6 +230,79 @@
 	free(server);
 }
 
+enum { BODY = 60000, BODIES_MOST = 100000 };
+
+/* Begins a request with a large body and sends none of it; its socket. */
+static int begin_large_body(void)
+{
+	static const char head[] = "POST /x HTTP/1.1\r\nContent-Length: 60000\r\n\r\n";
+	struct sockaddr_in address;
+	int fd = fl_socket();
+
+	assert_int_equal(fl_parse_addr(seen.addr, &address), 0);
+	assert_true(connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0 ||
+	            errno == EINPROGRESS);
+	assert_int_equal(fl_wait_io(fd, EV_WRITE, 1), 0);
+	assert_int_equal(fl_write_all(fd, head, sizeof(head) - 1, 1), 0);
+	return fd;
+}
+
+static void read_answer(int fd, char *text, size_t cap)
+{
+	ssize_t n;
+
+	assert_int_equal(fl_wait_io(fd, EV_READ, 5), 0);
+	n = recv(fd, text, cap - 1, 0);
+	text[n > 0 ? n : 0] = 0;
+	fl_close(fd);
+}
+
+static void send_large_bodies(void *arg)
+{
+	char *body = calloc(1, BODY + 1), text[400];
+	int first, second;
+
+	(void)arg;
+	memset(body, ' ', BODY);
+	first = begin_large_body();
+	/* The first is there before the second. */
+	fl_sleep(0.05);
+	second = begin_large_body();
+	read_answer(second, text, sizeof(text));
+	seen.finished = strncmp(text, "HTTP/1.1 503", 12) == 0 && strstr(text, "Retry-After: 1");
+	assert_int_equal(fl_write_all(first, body, BODY, 5), 0);
+	read_answer(first, text, sizeof(text));
+	seen.finished = seen.finished && strncmp(text, "HTTP/1.1 200", 12) == 0;
+	fl_sleep(0.05);
+	/* There is room again. */
+	second = begin_large_body();
+	assert_int_equal(fl_write_all(second, body, BODY, 5), 0);
+	read_answer(second, text, sizeof(text));
+	seen.finished = seen.finished && strncmp(text, "HTTP/1.1 200", 12) == 0;
+	free(body);
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+/* A thousand connections may send 64 KiB each at once: more than a small controller has. */
+static void bodies_have_a_limit_together(void **state)
+{
+	struct fl_http_server *server;
+
+	(void)state;
+	memset(&seen, 0, sizeof(seen));
+	fl_routines_init(ev_default_loop(0));
+	fl_http_limit_bodies(BODIES_MOST);
+	server = fl_http_serve("127.0.0.1:0", 16, 90, on_request, NULL);
+	assert_non_null(server);
+	snprintf(seen.addr, sizeof(seen.addr), "127.0.0.1:%d", fl_http_server_port(server));
+	fl_spawn(send_large_bodies, NULL);
+	fl_routines_run();
+	assert_true(seen.finished);
+	fl_routines_shutdown();
+	fl_http_limit_bodies(0);
+	free(server);
+}
+
 static void calls_are_answered_reuse_connections_and_are_bounded(void **state)
 {
 	struct fl_http_server *server;
@@ -354,6 +428,18 @@
 		{"[settings.cloud]", "[settings.clouds]", "settings.cloud: missing"},
 		{"zones = [\"a\"]", "zones = []", "settings.zones: must name"},
 		{"[external]", "[external", "line 6"},
+		{"core_share = 0.12", "core_share = 0", "settings.resources.core_share: must lie"},
+		{"core_share = 0.12", "core_share = -1", "settings.resources.core_share: must lie"},
+		{"core_share = 0.12", "core_share = nan", "core_share: must be a number"},
+		{"core_share = 0.12", "core_share = \"x\"", "core_share: must be a number"},
+		{"core_share = 0.12", "core_share = 0.001", "core_share: must lie"},
+		{"ram_mb = 72.0", "ram_mb = 0", "settings.resources.ram_mb: must lie"},
+		{"ram_mb = 72.0", "ram_mb = -72", "settings.resources.ram_mb: must lie"},
+		{"ram_mb = 72.0", "ram_mb = inf", "ram_mb: must be a number"},
+		{"ram_mb = 72.0", "ram_mb = 8", "settings.resources.ram_mb: must lie"},
+		{"max_connections = 1500", "max_connections = 0", "max_connections: must lie"},
+		{"max_connections = 1500", "max_connections = 32", "max_connections: must lie"},
+		{"max_connections = 1500", "max_connections = 99.5", "must be a whole"},
 	};
 	char error[512];
 
@@ -373,6 +459,22 @@
 	}
 }
 
+static void tight_settings_are_named_with_their_cost(void **state)
+{
+	struct fl_config c = {.core_share = 0.029, .ram_mb = 37, .max_connections = 900};
+	char text[256];
+
+	(void)state;
+	assert_false(fl_admission_tight(&c, 0, text, sizeof(text)));
+	c.ram_mb = 16;
+	assert_true(fl_admission_tight(&c, 0, text, sizeof(text)));
+	assert_non_null(strstr(text, "ram_mb is 16: 900 connections take 8 MB"));
+	c.core_share = 0.01;
+	assert_true(fl_admission_tight(&c, 1, text, sizeof(text)));
+	assert_non_null(strstr(text, "core_share is 0.01: a leader answers about 40 reports"));
+	assert_false(fl_admission_tight(&c, 2, text, sizeof(text)));
+}
+
 static void the_write_budget_holds_its_rate(void **state)
 {
 	struct fl_budget budget;
@@ -397,9 +499,11 @@
 		cmocka_unit_test(urgent_routines_run_before_others),
 		cmocka_unit_test(calls_are_answered_reuse_connections_and_are_bounded),
 		cmocka_unit_test(a_body_shorter_than_its_length_is_refused),
+		cmocka_unit_test(bodies_have_a_limit_together),
 		cmocka_unit_test(a_nearly_full_server_closes_answered_connections),
 		cmocka_unit_test(addresses_are_checked),
 		cmocka_unit_test(bad_settings_are_named),
+		cmocka_unit_test(tight_settings_are_named_with_their_cost),
 		cmocka_unit_test(the_write_budget_holds_its_rate),
 	};
 
