--- a/src/coordination/standby.c
+++ b/src/coordination/standby.c
@@ -88,21 +88,13 @@
 	}
 }
 
-/*
- * A node that has just started is asked by many workers at once and has no proof yet. One read
- * serves them all: a worker refused meanwhile loses seconds of its lease on nodes that are down.
- */
-static bool may_renew(struct fl_node *n, uint64_t epoch)
+/* Reads who leads; one read serves all that wait for it. */
+static void refresh_epoch(struct fl_node *n, double until)
 {
 	struct fl_standby *k = &n->standby;
 
-	if (has_proof(n, epoch))
-		return true;
-	if (has_epoch(n, epoch)) {
-		if (!n->jobs_known)
-			fl_signal_wait(&n->jobs_listed, tunables.refresh_wait_s);
-	} else if (k->refreshing) {
-		fl_signal_wait(&k->refreshed, tunables.refresh_wait_s);
+	if (k->refreshing) {
+		fl_signal_wait(&k->refreshed, until - fl_now());
 	} else if (fl_now() > k->refreshed_at + tunables.refresh_s) {
 		k->refreshing = true;
 		fl_lease_refresh(n);
@@ -110,6 +102,24 @@
 		k->refreshed_at = fl_now();
 		fl_signal_wake(&k->refreshed);
 	}
+}
+
+/*
+ * A node that has just started is asked by many workers at once and has no proof yet: neither the
+ * epoch nor the jobs. It waits for both: a worker refused meanwhile loses seconds of its lease on
+ * nodes that are down. Found in logs of the return of all controllers: whoever had waited for the
+ * epoch was refused because the jobs were not listed yet, some 50 workers each time.
+ */
+static bool may_renew(struct fl_node *n, uint64_t epoch)
+{
+	double until = fl_now() + tunables.refresh_wait_s;
+
+	if (has_proof(n, epoch))
+		return true;
+	if (!has_epoch(n, epoch))
+		refresh_epoch(n, until);
+	if (has_epoch(n, epoch) && !n->jobs_known && fl_now() < until)
+		fl_signal_wait(&n->jobs_listed, until - fl_now());
 	return has_proof(n, epoch);
 }
 
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -79,6 +79,49 @@
 	}
 }
 
+struct early_report {
+	struct fixture *fixture;
+	int status;
+};
+
+static void send_early(void *arg)
+{
+	struct early_report *early = arg;
+
+	early->status = send_report(early->fixture, make_report(1, 20, EPOCH, NULL, 0), NULL);
+}
+
+/* Refused, the worker would lose seconds of its lease looking for a node that is up. */
+static void a_node_just_started_waits_for_epoch_and_jobs(void **state)
+{
+	struct early_report early = {.fixture = *state};
+	struct fl_node *node = &early.fixture->node;
+	struct ev_loop *loop = ev_loop_new(0);
+
+	fl_routines_init(loop);
+	become_follower(early.fixture, 0);
+	node->cancellations_known_until = -1e9;
+	node->jobs_known = false;
+	node->epoch = 0;
+	/* Another report has the epoch read already. */
+	node->standby.refreshing = true;
+	assert_non_null(fl_spawn(send_early, &early));
+	ev_run(loop, EVRUN_NOWAIT);
+	assert_int_equal(early.status, 0);
+	node->epoch = EPOCH;
+	node->standby.refreshing = false;
+	fl_signal_wake(&node->standby.refreshed);
+	ev_run(loop, EVRUN_NOWAIT);
+	assert_int_equal(early.status, 0);
+	node->cancellations_known_until = fl_now();
+	node->jobs_known = true;
+	fl_signal_wake(&node->jobs_listed);
+	ev_run(loop, EVRUN_NOWAIT);
+	assert_int_equal(early.status, 200);
+	fl_routines_shutdown();
+	ev_loop_destroy(loop);
+}
+
 static void disconnect(struct fixture *fixture, double for_s)
 {
 	double now = fl_now();
@@ -230,6 +273,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		NODE_TEST(a_standby_caches_the_newest_report),
+		NODE_TEST(a_node_just_started_waits_for_epoch_and_jobs),
 		NODE_TEST(a_cached_report_is_restored_from_its_short_form),
 		NODE_TEST(an_isolated_node_redirects_its_workers_once),
 		NODE_TEST(a_node_isolated_with_its_workers_renews_their_leases),
