--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -286,8 +286,10 @@
  */
 int fl_node_public_conns(const struct fl_config *c)
 {
-	int peer = FL_REPORT_REQUESTS_MAX + FL_STATUS_REQUESTS_MAX + FL_PEER_CALLS_MAX;
-	int rest = c->max_connections - (c->n_peers + 1) * peer - tunables.own_conns;
+	/* Of each peer what it may open here, and to one of them, the leader, the same from here.
+	 */
+	int peers = (c->n_peers + 1) * FL_PEER_CONNS_MAX + c->n_peers;
+	int rest = c->max_connections - peers - tunables.own_conns;
 	int least = (int)(c->max_connections * tunables.user_least);
 
 	return rest > least ? rest : least;
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -11,8 +11,10 @@
 #include "coordination/leader.h"
 #include "coordination/lease.h"
 #include "coordination/provision.h"
+#include "coordination/report_relay.h"
 #include "coordination/request_batch.h"
 #include "coordination/status_query.h"
+#include "coordination/user_calls.h"
 #include "protocol/cloud.h"
 #include "protocol/peers.h"
 #include "protocol/state.h"
@@ -70,6 +72,11 @@
 
 /* Starts a controller with its servers and routines; it is never freed. -1: it cannot serve. */
 int fl_node_start(const struct fl_config *config);
+/* Connections that one controller opens to another at most; the last is for the exchange. */
+enum {
+	FL_PEER_CONNS_MAX = FL_REPORT_REQUESTS_MAX + FL_STATUS_REQUESTS_MAX + FL_PEER_CALLS_MAX + 1
+};
+
 /* How many of all connections users and workers may hold. */
 int fl_node_public_conns(const struct fl_config *c);
 /* Answers a user's call here, passing on what only the leader can say. */
--- a/src/coordination/user_calls.h
+++ b/src/coordination/user_calls.h
@@ -12,7 +12,7 @@
 
 struct fl_node;
 
-/* Most connections for users' calls and gossip to one other controller. */
+/* Most connections for users' calls to one other controller. */
 enum { FL_PEER_CALLS_MAX = 24 };
 
 /* Answers a poll or a cancellation of the job `ref`; an empty one is no job's. */
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -366,6 +366,28 @@
 	assert_in_range(fl_node_public_conns(&c), 8, 15);
 }
 
+/*
+ * Four peers may each want their part of a leader with few sockets, while its public side is full:
+ * peers, state service, cloud and commands keep their share, and so do users and workers.
+ */
+static void every_side_keeps_its_share_of_the_sockets(void **state)
+{
+	static const int limits[] = {900, 1500, 4000};
+	const int commands_and_services = 48;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(limits) / sizeof(limits[0]); i++) {
+		struct fl_config c = {.n_peers = 4, .max_connections = limits[i]};
+		int public = fl_node_public_conns(&c);
+		int from_peers = c.n_peers * FL_PEER_CONNS_MAX;
+		int to_leader = FL_PEER_CONNS_MAX + c.n_peers;
+
+		assert_true(public >= (int)(0.6 * limits[i]));
+		assert_true(limits[i] - public >= from_peers);
+		assert_true(public + from_peers + to_leader + commands_and_services <= limits[i]);
+	}
+}
+
 static void addresses_are_checked(void **state)
 {
 	struct sockaddr_in address;
@@ -501,6 +523,7 @@
 		cmocka_unit_test(a_body_shorter_than_its_length_is_refused),
 		cmocka_unit_test(bodies_have_a_limit_together),
 		cmocka_unit_test(a_nearly_full_server_closes_answered_connections),
+		cmocka_unit_test(every_side_keeps_its_share_of_the_sockets),
 		cmocka_unit_test(addresses_are_checked),
 		cmocka_unit_test(bad_settings_are_named),
 		cmocka_unit_test(tight_settings_are_named_with_their_cost),
