The simulation's checker counts service by class and team, and the start of the largest

Jobs whose team is at its limit are not counted, nor fewer than eight. The new play stream brings small jobs for minutes, long enough for the four minutes to count.

--- a/tests/fault_combinations.c
+++ b/tests/fault_combinations.c
@@ -224,6 +224,16 @@
 		play_leader_down(50, 10);
 }
 
+/* Small jobs keep coming for minutes: the largest begin all the same, and every team is served. */
+static void stream(int variant)
+{
+	for (int i = 0; i < 25; i++)
+		sim_trouble(MORE_JOBS, 10 + 8 * i, 1, 0, 0, 2);
+	sim_trouble(TAKE_MACHINES, sim_between(60, 90), 1, 0, 0.4, 0);
+	if (variant % 2)
+		play_leader_down(sim_between(50, 100), sim_between(5, 20));
+}
+
 /* A command or its answer is held up for seconds, and the machine then goes on. */
 static void held_command(int variant)
 {
@@ -356,6 +366,7 @@
 	{"zone_loses", "schedule.c, provision.c: places; reconcile.c: gone", 3, zone_loses, 0},
 	{"hand_over", "lease.c: epochs; takeover.c", 3, hand_over, 0},
 	{"overload", "schedule.c: limits, reservations; record_writer.c: the log", 3, overload, 0},
+	{"stream", "schedule_order.c: rank, growing weight of the wait", 2, stream, 0},
 	{"held_command", "reconcile.c: absence_proves, may_forget", 3, held_command, 0},
 	{"ten_leaders", "lease.c: epochs; takeover.c; record_writer.c", 3, ten_leaders, 0},
 	{"cancel_at_end", "answer.c: finishing, unsure; record_writer.c: finalise", 4,
--- a/tests/sim_check.c
+++ b/tests/sim_check.c
@@ -11,10 +11,12 @@
 
 enum { NAMES = 512 };
 static const struct {
-	double wait_s;   /* s that a job may be left waiting beside room */
-	double forget_s; /* s without an answer after which a job is forgotten */
-	double round_s;  /* s between two looks */
-} rule = {90, 75, 0.5};
+	double wait_s;    /* s that a job may be left waiting beside room */
+	double forget_s;  /* s without an answer after which a job is forgotten */
+	double round_s;   /* s between two looks */
+	double largest_s; /* s within which the largest jobs of a class begin */
+	int fewest;       /* jobs of which half can be asked for */
+} rule = {90, 75, 0.5, 240, 8};
 
 static struct {
 	char rental[NAMES][64];
@@ -291,18 +293,24 @@
 	return cpus <= k->cpus && gpus <= k->gpus && ram <= k->ram_gb;
 }
 
-static bool waits_beside_room(const struct sim_job *job)
+/* Plays bring more jobs than their teams may run at once: those beyond the limits have to wait. */
+static bool team_is_full(const struct sim_job *job)
 {
 	const struct sim_team *team = team_of(job);
 	double cpus, gpus;
 
+	team_use(team, &cpus, &gpus);
+	return cpus + job->run.cpus > team->cpus_max || gpus + job->run.gpus > team->gpus_max;
+}
+
+static bool waits_beside_room(const struct sim_job *job)
+{
 	if (job->accepted == 0 || job->bad || job->cancelling || all_completed(job))
 		return false;
 	for (uint32_t k = 0; k < job->run.n_tasks; k++)
 		if (job->on[k] > 0)
 			return false;
-	team_use(team, &cpus, &gpus);
-	if (cpus + job->run.cpus > team->cpus_max || gpus + job->run.gpus > team->gpus_max)
+	if (team_is_full(job))
 		return false;
 	for (int i = 0; i < sim.n_machines; i++)
 		if (has_room(&sim.machine[i], job))
@@ -333,6 +341,83 @@
 	}
 }
 
+/* ---- how much was served, by class and team ---- */
+
+/* Jobs that had a fair time to begin, and of those the ones that did. */
+struct service {
+	int jobs, served;
+};
+
+static bool had_time(const struct sim_job *job)
+{
+	return job->accepted > 0 && !job->bad && !job->cancelling &&
+	       fl_now() > job->accepted + rule.wait_s && (job->starts > 0 || !team_is_full(job));
+}
+
+static void count_service(struct service *s, const struct sim_job *job)
+{
+	s->jobs++;
+	s->served += job->starts > 0;
+}
+
+static void check_half(const char *what, const char *name, struct service s)
+{
+	if (s.jobs >= rule.fewest && 2 * s.served < s.jobs)
+		sim_broken("unserved", "%s %s: %d of %d jobs began", what, name, s.served, s.jobs);
+}
+
+static double size_of(const struct sim_job *job) { return job->run.n_tasks * job->run.cpus; }
+
+/* Those within a quarter of the size of the class's largest. */
+static bool among_largest(const struct sim_job *job)
+{
+	double most = 0;
+
+	for (int i = 0; i < sim.n_jobs; i++)
+		if (had_time(&sim.job[i]) &&
+		    strcmp(sim.job[i].run.job_class, job->run.job_class) == 0 &&
+		    size_of(&sim.job[i]) > most)
+			most = size_of(&sim.job[i]);
+	return size_of(job) >= 0.75 * most;
+}
+
+static void check_class(const char *name)
+{
+	struct service all = {0}, largest = {0};
+
+	for (int i = 0; i < sim.n_jobs; i++) {
+		const struct sim_job *job = &sim.job[i];
+
+		if (!had_time(job) || strcmp(job->run.job_class, name) != 0)
+			continue;
+		count_service(&all, job);
+		if (!among_largest(job))
+			continue;
+		count_service(&largest, job);
+		if (job->starts == 0 && fl_now() > job->accepted + rule.largest_s)
+			sim_broken("unserved", "%s, among the largest of %s, never began",
+			           job->run.ref, name);
+	}
+	check_half("class", name, all);
+	check_half("largest of class", name, largest);
+}
+
+static void check_service(void)
+{
+	static const char *const classes[] = {"serve", "train"};
+
+	for (size_t i = 0; i < sizeof(classes) / sizeof(classes[0]); i++)
+		check_class(classes[i]);
+	for (int i = 0; i < SIM_TEAMS; i++) {
+		struct service team = {0};
+
+		for (int k = 0; k < sim.n_jobs; k++)
+			if (had_time(&sim.job[k]) && team_of(&sim.job[k]) == &sim_teams[i])
+				count_service(&team, &sim.job[k]);
+		check_half("team", sim_teams[i].name, team);
+	}
+}
+
 void sim_check_begin(void)
 {
 	memset(&seen, 0, sizeof(seen));
@@ -351,6 +436,7 @@
 			sim_broken("forgotten", "%s: no answer for %.0f s", job->run.ref,
 			           fl_now() - since);
 	}
+	check_service();
 	if (sim.starts == 0)
 		sim_broken("nothing_ran", "no task was started");
 }
