--- a/src/coordination/pass.c
+++ b/src/coordination/pass.c
@@ -16,7 +16,7 @@
 } tunables = {
 	.gap_s = 0.1,     /* s between two passes at least: many reports, one pass */
 	.most_s = 1.0,    /* s between two passes at most */
-	.share = 0.2,     /* of this controller's processor for passes at most */
+	.share = 0.5,     /* of this controller's processor for passes at most */
 	.budget_s = 0.03, /* s of a pass before it stops and resumes next time, at most */
 	.forget_s = 40.0, /* s; finished entries wait this long for a higher epoch */
 };
