--- a/tests/test_job_lookup.c
+++ b/tests/test_job_lookup.c
@@ -14,11 +14,13 @@
 
 #include "copy_text.h"
 #include "frontend_fixture.h"
+#include "transport/clock.h"
 
 struct question {
 	struct fixture *fixture;
 	char ref[FL_REF_MAX];
 	struct fl_response resp;
+	char body[256]; /* of the answer, once it is there */
 	bool answered;
 };
 
@@ -28,6 +30,8 @@
 
 	fl_node_user_call(&question->fixture->node, FL_CALL_POLL, question->ref, NULL, 0,
 	                  FL_FIRST_HOP, &question->resp);
+	if (question->resp.body)
+		copy_text(question->body, sizeof(question->body), question->resp.body);
 	free(question->resp.body);
 	question->answered = true;
 }
@@ -131,10 +135,58 @@
 		fail_msg("%s", fixture->failed);
 }
 
+/* The leader's own poll waits for a record, and the job ends meanwhile: its end is what is said. */
+static void end_while_read(void *arg)
+{
+	static struct question question;
+	struct fixture *fixture = arg;
+	struct fl_node *node = &fixture->node;
+	struct fl_job_spec spec = {.ref = "run-000001",
+	                           .team = "t",
+	                           .n_tasks = 1,
+	                           .n_machine_types = -1,
+	                           .kind = FL_ARRAY};
+	struct fl_job *job;
+
+	node->lead.active = node->lease.held = node->cluster.leading = true;
+	node->lease.valid_until = fl_now() + 1000;
+	/* What is read has not seen the end: nothing stands there. */
+	fixture->known = false;
+	fixture->gated = true;
+	fixture->config.state_rps = 1000;
+	fl_job_lookups_init(node);
+	job = fl_job_add(&node->cluster, &spec, fl_wall(), 1);
+	/* A final write is under way: only the record may know its outcome. */
+	job->unsure = true;
+	spawn_question(fixture, &question, "run-000001");
+	while (fixture->reads < 1)
+		fl_sleep(0.01);
+	fl_job_finalise(&node->cluster, job, FL_DONE);
+	while (!question.answered) {
+		fl_signal_wake(&fixture->gate);
+		fl_sleep(0.01);
+	}
+	if (question.resp.status != 200 || !strstr(question.body, "done"))
+		snprintf(fixture->failed, sizeof(fixture->failed), "%d %s", question.resp.status,
+		         question.body);
+	ev_break(fl_loop(), EVBREAK_ALL);
+}
+
+static void a_job_that_ends_while_its_record_is_read_is_done(void **state)
+{
+	struct fixture *fixture = *state;
+
+	fl_spawn(end_while_read, fixture);
+	fl_routines_run();
+	if (fixture->failed[0])
+		fail_msg("%s", fixture->failed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		FRONTEND_TEST(many_polls_stay_within_the_share_of_the_state_service),
+		FRONTEND_TEST(a_job_that_ends_while_its_record_is_read_is_done),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
