Status queries wait out a leader that stands still, four at once, and go first there

Cause: with 2.9% of a core and a guest's 100,000 tasks of 4 s the leader stands still for a second at a time; a query waited 0.8 s, two at once, and what failed went to the records, whose share answers some ten a second. Users of most of 1,900 one-task jobs heard nothing for 75 s. The new test fails with 0.8 s by its stand-in's rule.

--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -119,6 +119,8 @@
 		return;
 	}
 	if (strcmp(req->path, FL_PATH_STATUS) == 0) {
+		/* For up to 256 users at once, and answered from memory. */
+		fl_urgent();
 		fl_status_query_serve(n, req->body, req->body_len, resp);
 		return;
 	}
--- a/src/coordination/status_query.c
+++ b/src/coordination/status_query.c
@@ -12,10 +12,17 @@
 #include "transport/text.h"
 
 static const struct {
-	double patience_s; /* s for a request; users wait 2 s and may need another way after it */
+	double wait_s; /* s until a request may be sent */
+	/*
+	 * s for a request; users wait 2 s. Found with 3% of a core and 1,900 jobs asked about: an
+	 * overloaded leader stands still for a second at a time, and with 0.8 s all that asked then
+	 * went to the records, which cannot answer so many.
+	 */
+	double patience_s;
 	int in_flight; /* requests to the leader at once: one that stalls must not hold up all */
 } tunables = {
-	.patience_s = 0.8,
+	.wait_s = 0.5,
+	.patience_s = 1.2,
 	.in_flight = FL_STATUS_REQUESTS_MAX,
 };
 
@@ -75,7 +82,7 @@
 
 enum fl_query_result fl_status_query(struct fl_node *n, const char *ref, struct fl_response *resp)
 {
-	const struct fl_batch_terms terms = {tunables.in_flight, tunables.patience_s,
+	const struct fl_batch_terms terms = {tunables.in_flight, tunables.wait_s,
 	                                     tunables.patience_s, exchange};
 	struct fl_batch_queue *q = &n->status_queries;
 	struct fl_status_batch *b = (struct fl_status_batch *)q->filling;
--- a/src/coordination/status_query.h
+++ b/src/coordination/status_query.h
@@ -11,7 +11,7 @@
 
 struct fl_node;
 /* Status requests of one node that are under way to the leader at once, at most. */
-enum { FL_STATUS_REQUESTS_MAX = 2 };
+enum { FL_STATUS_REQUESTS_MAX = 4 };
 
 /* What came of a query. */
 enum fl_query_result {
--- a/tests/test_status_query.c
+++ b/tests/test_status_query.c
@@ -19,14 +19,15 @@
 #include "transport/clock.h"
 
 enum { QUERIES = 300 };
-static const double way_s = 0.005; /* s each way of a request */
+static const double way_s = 0.005;      /* s each way of a request */
+static const double standstill_s = 1.0; /* s for which a leader stands still that is overloaded */
 
 struct sim sim;
 
 static struct {
 	struct fl_node follower, leader;
 	int requests;
-	bool link_down;
+	bool link_down, leader_stands_still;
 } world;
 
 struct query {
@@ -62,7 +63,11 @@
 		fl_sleep(timeout_s);
 		return -ETIMEDOUT;
 	}
-	fl_sleep(way_s);
+	if (world.leader_stands_still && timeout_s < standstill_s + 2 * way_s) {
+		fl_sleep(timeout_s);
+		return -ETIMEDOUT;
+	}
+	fl_sleep(world.leader_stands_still ? standstill_s : way_s);
 	fl_status_query_serve(&world.leader, body, strlen(body), &resp);
 	fl_sleep(way_s);
 	memset(out, 0, sizeof(*out));
@@ -151,9 +156,9 @@
 		answered += queries[i].result == FL_QUERY_ANSWERED;
 		overloaded += queries[i].result == FL_QUERY_OVERLOADED;
 	}
-	/* Two that went at once, one each, and a full request after them. */
-	assert_int_equal(world.requests, 3);
-	assert_int_equal(answered, 2 + FL_STATUS_QUERY_MAX);
+	/* Those that went at once, one each, and a full request after them. */
+	assert_int_equal(world.requests, FL_STATUS_REQUESTS_MAX + 1);
+	assert_int_equal(answered, FL_STATUS_REQUESTS_MAX + FL_STATUS_QUERY_MAX);
 	assert_int_equal(overloaded, QUERIES - answered);
 	free_answers(queries, QUERIES);
 }
@@ -232,6 +237,24 @@
 	free_answers(queries, QUERIES);
 }
 
+/*
+ * Found with 3% of a core: an overloaded leader stands still for a second at a time. All that asked
+ * then went to the records, and most of 1,900 jobs had no answer for 75 s.
+ */
+static void a_leader_that_stands_still_for_a_second_is_waited_for(void **state)
+{
+	struct query *queries = calloc(QUERIES, sizeof(*queries));
+
+	(void)state;
+	world.leader_stands_still = true;
+	for (int i = 0; i < FL_STATUS_REQUESTS_MAX; i++)
+		ref_of(queries[i].ref, i);
+	run(queries, FL_STATUS_REQUESTS_MAX);
+	for (int i = 0; i < FL_STATUS_REQUESTS_MAX; i++)
+		assert_int_equal(queries[i].result, FL_QUERY_ANSWERED);
+	free_answers(queries, FL_STATUS_REQUESTS_MAX);
+}
+
 static int decode_query(const char *text)
 {
 	char refs[FL_STATUS_QUERY_MAX][FL_REF_MAX];
@@ -288,6 +311,8 @@
 		cmocka_unit_test_setup_teardown(who_leads_no_more_answers_nothing, set_up,
 	                                        tear_down),
 		cmocka_unit_test_setup_teardown(a_silent_leader_holds_nobody_up, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_leader_that_stands_still_for_a_second_is_waited_for, set_up, tear_down),
 		cmocka_unit_test(malformed_messages_decide_nothing),
 	};
 
