--- a/tests/sim.h
+++ b/tests/sim.h
@@ -264,6 +264,8 @@
 int sim_node_zone(int node);
 /* The settings of a node, by the site's numbers in `sim`. */
 void sim_configure(int node);
+/* Starts all parts of the site: jobs and troubles are there already. */
+void sim_start(void);
 /* Frees what a play has left. */
 void sim_end(void);
 
--- a/tests/sim_site.c
+++ b/tests/sim_site.c
@@ -1,4 +1,4 @@
-/* A site of the simulation: the settings of its controllers, and its end. */
+/* A site of the simulation: the settings of its controllers, its start and its end. */
 #include "sim.h"
 
 #include <stdio.h>
@@ -55,6 +55,17 @@
 	c->max_connections = 400;
 }
 
+void sim_start(void)
+{
+	sim_state_begin();
+	sim_workers_begin();
+	for (int i = 0; i < sim.n_nodes; i++)
+		sim_node_start(i);
+	sim_users_begin();
+	sim_check_begin();
+	sim_troubles_start();
+}
+
 void sim_end(void)
 {
 	sim_net_end();
--- a/tests/test_fault_combinations.c
+++ b/tests/test_fault_combinations.c
@@ -82,13 +82,7 @@
 	set_up(seed, m->name);
 	sim.begin = fl_now();
 	m->plan(at);
-	sim_state_begin();
-	sim_workers_begin();
-	for (int i = 0; i < sim.n_nodes; i++)
-		sim_node_start(i);
-	sim_users_begin();
-	sim_check_begin();
-	sim_troubles_start();
+	sim_start();
 	sim.end_s = sim.calm_s + 95;
 	sim_time_run(sim.begin + sim.end_s);
 	sim_check_end();
--- a/tests/test_large_site.c
+++ b/tests/test_large_site.c
@@ -90,13 +90,7 @@
 	sim.calm_s = end_s - 1;
 	sim_trouble(NODE_DOWN, leader_ends_s, 8, THE_LEADER, 0, 0);
 	sim_trouble(NODE_DOWN, all_end_s, 8, ALL_NODES, 0, 0);
-	sim_state_begin();
-	sim_workers_begin();
-	for (int i = 0; i < sim.n_nodes; i++)
-		sim_node_start(i);
-	sim_users_begin();
-	sim_check_begin();
-	sim_troubles_start();
+	sim_start();
 	return 0;
 }
 
--- a/tests/test_lease_priority.c
+++ b/tests/test_lease_priority.c
@@ -37,14 +37,6 @@
 		sim_process_waits(process, fl_now() + work_s);
 }
 
-int fl_http_client_init(struct fl_http_client *c, const char *addr, int max_idle)
-{
-	(void)c, (void)addr, (void)max_idle;
-	return 0;
-}
-
-void fl_http_client_close(struct fl_http_client *c) { (void)c; }
-
 /* An empty state service that grants leases; and a cloud without machines. */
 static const char *answer(const char *path)
 {
--- a/tests/test_report_relay.c
+++ b/tests/test_report_relay.c
@@ -45,14 +45,6 @@
 /* No controller here is slow. */
 void sim_process_computes(int process) { (void)process; }
 
-int fl_http_client_init(struct fl_http_client *c, const char *addr, int max_idle)
-{
-	(void)c, (void)addr, (void)max_idle;
-	return 0;
-}
-
-void fl_http_client_close(struct fl_http_client *c) { (void)c; }
-
 /* To the leader, or to the third controller, which passes messages on. */
 int fl_http_call(struct fl_http_client *c, const char *method, const char *path, const char *body,
                  double timeout_s, struct fl_reply *out)
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -176,19 +176,26 @@
 	ev_break(fl_loop(), EVBREAK_ALL);
 }
 
-/* Sends the head of a longer body; what comes back in the first line, or an empty string. */
-static void send_short_body(bool end, char *line, size_t cap)
+static int connect_to_server(void)
 {
-	static const char text[] = "POST /x HTTP/1.1\r\nContent-Length: 50\r\n\r\n{}";
 	struct sockaddr_in address;
 	int fd = fl_socket();
-	ssize_t n;
 
-	line[0] = 0;
 	assert_int_equal(fl_parse_addr(seen.addr, &address), 0);
 	assert_true(connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0 ||
 	            errno == EINPROGRESS);
 	assert_int_equal(fl_wait_io(fd, EV_WRITE, 1), 0);
+	return fd;
+}
+
+/* Sends the head of a longer body; what comes back in the first line, or an empty string. */
+static void send_short_body(bool end, char *line, size_t cap)
+{
+	static const char text[] = "POST /x HTTP/1.1\r\nContent-Length: 50\r\n\r\n{}";
+	int fd = connect_to_server();
+	ssize_t n;
+
+	line[0] = 0;
 	assert_int_equal(fl_write_all(fd, text, sizeof(text) - 1, 1), 0);
 	if (end)
 		shutdown(fd, SHUT_WR);
@@ -236,13 +243,8 @@
 static int begin_large_body(void)
 {
 	static const char head[] = "POST /x HTTP/1.1\r\nContent-Length: 60000\r\n\r\n";
-	struct sockaddr_in address;
-	int fd = fl_socket();
+	int fd = connect_to_server();
 
-	assert_int_equal(fl_parse_addr(seen.addr, &address), 0);
-	assert_true(connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0 ||
-	            errno == EINPROGRESS);
-	assert_int_equal(fl_wait_io(fd, EV_WRITE, 1), 0);
 	assert_int_equal(fl_write_all(fd, head, sizeof(head) - 1, 1), 0);
 	return fd;
 }
