--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -138,7 +138,7 @@
 		return;
 	}
 	/* Only a leader answers; one hop further, if the sender could not reach it itself. */
-	if (!fl_leading(n) && (r.last_hop || strcmp(n->leader, n->config->node) == 0))
+	if (!fl_leading(n) && fl_relay_ends_here(n, r.last_hop))
 		fl_refuse(resp, 421, "not the leader");
 	else
 		fl_node_user_call(n, r.call, r.ref, r.body, r.body ? strlen(r.body) : 0,
--- a/src/coordination/relay.c
+++ b/src/coordination/relay.c
@@ -34,6 +34,11 @@
 	return p ? 2 + (int)(p - n->peers) : 0;
 }
 
+bool fl_relay_ends_here(const struct fl_node *n, bool last_hop)
+{
+	return last_hop || strcmp(n->leader, n->config->node) == 0;
+}
+
 static int relay_via(struct fl_peer *p, const char *path, const char *text, double timeout_s,
                      struct fl_reply *out)
 {
--- a/src/coordination/relay.h
+++ b/src/coordination/relay.h
@@ -24,6 +24,8 @@
 struct fl_peer *fl_peer_find(struct fl_node *n, const char *name);
 /* A small number for a controller's name: 1 this node, above it the others; 0: not known. */
 int fl_node_index(struct fl_node *n, const char *name);
+/* Whether a relayed message that this node cannot answer must not be passed on from here. */
+bool fl_relay_ends_here(const struct fl_node *n, bool last_hop);
 /* Passes a message to the leader, direct or through a third node: 0 and the answer, or an errno. */
 int fl_relay(struct fl_node *n, const char *path, fl_relay_encoder encode, const void *ctx,
              enum fl_hop hop, double patience_s, struct fl_reply *out);
--- a/src/coordination/report_relay.c
+++ b/src/coordination/report_relay.c
@@ -2,7 +2,6 @@
 
 #include <errno.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "coordination/node.h"
 #include "protocol/peer_reports.h"
@@ -196,7 +195,7 @@
 	}
 	if (fl_leading(n))
 		answer_all(n, &m, resp);
-	else if (m.last_hop || strcmp(n->leader, n->config->node) == 0)
+	else if (fl_relay_ends_here(n, m.last_hop))
 		fl_refuse(resp, 421, "not the leader");
 	else
 		pass_on(n, &m, resp);
