--- /dev/null
+++ b/review/standins/scenarios.cc
@@ -0,0 +1,221 @@
+#include "scenarios.h"
+
+#include <unistd.h>
+
+#include "world.h"
+
+static World *the_world;
+
+static World &new_world(const Settings &settings, const std::vector<std::string> &command)
+{
+	the_world = new World(settings, command);
+	return *the_world;
+}
+
+// ---- case: the state service lowers its limits ----
+
+static JobInfo array_job(int number, int parts, double run_s)
+{
+	JobInfo job;
+	char ref[24];
+
+	snprintf(ref, sizeof(ref), "run-%06d", number);
+	job.ref = ref;
+	job.kind = "sweep";
+	job.parts = parts;
+	job.run_s = run_s;
+	job.image_gb = 0.5;
+	job.cpus = 1;
+	job.ram = 2;
+	return job;
+}
+
+// Submits until the job is accepted, as a user does.
+static bool submit_until_accepted(World &world, int controller, const JobInfo &job)
+{
+	std::string status;
+
+	for (double until = now_s() + 60; now_s() < until; sleep_s(1))
+		if (world.submit(controller, job, "", status) / 100 == 2)
+			return true;
+	return false;
+}
+
+static bool wait_until_done(World &world, int controller, const std::string &ref, double until)
+{
+	std::string status;
+
+	do {
+		if (world.poll(controller, ref, status) == 200 && status == "done")
+			return true;
+		sleep_s(1);
+	} while (now_s() < until);
+	return false;
+}
+
+static int limits(const std::vector<std::string> &command, bool trouble)
+{
+	const int count = 6, parts[] = {200, 40, 40, 40, 40, 40};
+	Settings settings;
+	int result = 0;
+
+	// The limits of the deployment in Kuopio, and those that its days lower them to.
+	settings.next = "[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 18.0\n";
+	World &world = new_world(settings, command);
+	world.start_all();
+	if (!world.wait_ready(15) || !submit_until_accepted(world, 0, array_job(1, 12, 2)) ||
+	    !wait_until_done(world, 1, "run-000001", now_s() + 15))
+		return 2;
+	if (trouble)
+		world.store->set_limits(2, 4, 18);
+	for (int i = 0; i < count; i++)
+		if (!submit_until_accepted(world, i % 3, array_job(2 + i, parts[i], 3)))
+			return 2;
+	double accepted_at = now_s();
+	for (int i = 0; i < count; i++)
+		if (!wait_until_done(world, i % 3, array_job(2 + i, 1, 1).ref, accepted_at + 91))
+			result = 1;
+	for (int i = 0; i < count; i++) {
+		std::string ref = array_job(2 + i, 1, 1).ref, status;
+		int starts = world.starts(ref), completed = 0;
+		world.with_lock([&] { completed = world.done_counts[ref]; });
+		world.poll(i % 3, ref, status);
+		record("%s: %d tasks, %d starts, %d completed, status %s", ref.c_str(), parts[i],
+		       starts, completed, status.c_str());
+	}
+	int idle = 0, up = 0;
+	world.with_lock([&] {
+		for (auto &machine : world.machines) {
+			up += !machine->gone && now_s() > machine->up_at;
+			idle += !machine->gone && now_s() > machine->up_at && machine->tasks.empty();
+		}
+	});
+	record("%.0f s after the last submission: %d machines up, %d of them without a task; %d "
+	       "transactions got 400",
+	       now_s() - accepted_at, up, idle, world.store->rejected_too_large.load());
+	return world.violations.empty() ? result : 1;
+}
+
+// ---- case: a cancellation whose transaction is carried out late ----
+
+// What the user of one job was told, in the order of the answers.
+struct Told {
+	std::mutex mutex;
+	double aborted_at = -1;  // when the first answer "aborted" had arrived
+	int aborted_by = -1;
+};
+
+static void check_answer(World &world, Told &told, const std::string &ref, int controller,
+                         double sent_at, int code, const std::string &status)
+{
+	std::lock_guard<std::mutex> lock(told.mutex);
+
+	if (code == 200 && status == "aborted" && told.aborted_at < 0) {
+		told.aborted_at = now_s();
+		told.aborted_by = controller;
+	}
+	if (told.aborted_at >= 0 && sent_at > told.aborted_at &&
+	    ((code == 200 && status != "aborted") || code == 404))
+		world.with_lock([&] {
+			world.violation("went_back",
+			                ref + ": host-" + std::to_string(told.aborted_by) +
+			                        " said aborted, then host-" +
+			                        std::to_string(controller) + " said " +
+			                        (code == 404 ? "404" : status));
+		});
+}
+
+static int late_cancel(const std::vector<std::string> &command, bool trouble)
+{
+	Settings settings;
+	std::string status;
+	const int count = 100;
+	std::vector<std::thread> threads;
+	std::mt19937 random(5);
+	std::mutex random_mutex;
+	std::atomic<bool> window{false};
+
+	World &world = new_world(settings, command);
+	world.store->slow_share = 0.1;
+	world.store->late_transaction = [&](int, const std::string &) {
+		std::lock_guard<std::mutex> lock(random_mutex);
+		if (!window || random() % 10 >= 3)
+			return -1.0;
+		return 2 + 10 * (double)random() / (double)random.max();
+	};
+	world.start_all();
+	if (!world.wait_ready(20))
+		return 2;
+	for (int i = 0; i < count; i++) {
+		JobInfo job;
+		char ref[24];
+		snprintf(ref, sizeof(ref), "run-%06d", i + 1);
+		job.ref = ref;
+		job.kind = "standing";
+		job.parts = 1;
+		job.image_gb = 0.5;
+		job.cpus = 2;
+		job.ram = 4;
+		for (int tries = 0; world.submit(i % 3, job, "", status) / 100 != 2; tries++) {
+			if (tries == 10)
+				return 2;
+			sleep_s(1);
+		}
+		sleep_s(0.1);
+	}
+	sleep_s(12);
+	window = trouble;
+	for (int i = 0; i < count; i++) {
+		threads.emplace_back([&world, i] {
+			char ref[24];
+			auto told = std::make_shared<Told>();
+			std::atomic<bool> over{false};
+			std::vector<std::thread> pollers;
+			snprintf(ref, sizeof(ref), "run-%06d", i + 1);
+			sleep_s(i * 0.5);
+			auto poll_all = [&] {
+				for (int node = 0; node < 3 && pollers.size() < 3; node++)
+					pollers.emplace_back([&world, &over, told, node, ref] {
+					while (!over) {
+						double sent_at = now_s();
+						std::string s;
+						int code = world.poll(node, ref, s);
+						check_answer(world, *told, ref, node, sent_at, code, s);
+						sleep_s(0.1);
+					}
+				});
+			};
+			for (double until = now_s() + 55; now_s() < until;) {
+				double sent_at = now_s();
+				std::string s;
+				int code = world.cancel(i % 3, ref, s);
+				check_answer(world, *told, ref, i % 3, sent_at, code, s);
+				if (code == 200)
+					break;
+				poll_all();
+				sleep_s(7 + 0.5 * (i % 8));
+			}
+			poll_all();
+			sleep_s(1.5);
+			over = true;
+			for (auto &poller : pollers)
+				poller.join();
+		});
+	}
+	for (auto &thread : threads)
+		thread.join();
+	return world.violations.empty() ? 0 : 1;
+}
+
+int run_scenario(const std::string &name, const std::vector<std::string> &command, bool trouble)
+{
+	int result = 2;
+
+	if (name == "limits")
+		result = limits(command, trouble);
+	if (name == "late_cancel")
+		result = late_cancel(command, trouble);
+	if (the_world)
+		the_world->finish();
+	return result;
+}
