--- a/review/standins/scenarios.cc
+++ b/review/standins/scenarios.cc
@@ -129,7 +129,7 @@
 {
 	Settings settings;
 	std::string status;
-	const int count = 100;
+	const int count = 200;
 	std::vector<std::thread> threads;
 	std::mt19937 random(5);
 	std::mutex random_mutex;
@@ -154,16 +154,16 @@
 		job.kind = "standing";
 		job.parts = 1;
 		job.image_gb = 0.5;
-		job.cpus = 2;
-		job.ram = 4;
+		job.cpus = 1;
+		job.ram = 2;
 		for (int tries = 0; world.submit(i % 3, job, "", status) / 100 != 2; tries++) {
 			if (tries == 10)
 				return 2;
 			sleep_s(1);
 		}
-		sleep_s(0.1);
+		sleep_s(0.05);
 	}
-	sleep_s(12);
+	sleep_s(10);
 	window = trouble;
 	for (int i = 0; i < count; i++) {
 		threads.emplace_back([&world, i] {
@@ -172,7 +172,7 @@
 			std::atomic<bool> over{false};
 			std::vector<std::thread> pollers;
 			snprintf(ref, sizeof(ref), "run-%06d", i + 1);
-			sleep_s(i * 0.5);
+			sleep_s(i * 0.25);
 			auto poll_all = [&] {
 				for (int node = 0; node < 3 && pollers.size() < 3; node++)
 					pollers.emplace_back([&world, &over, told, node, ref] {
