--- a/review/standins/scenarios.cc
+++ b/review/standins/scenarios.cc
@@ -207,12 +207,58 @@
 	return world.violations.empty() ? 0 : 1;
 }
 
+// ---- case: a job that fails everywhere, cancelled, and a sound one after it ----
+
+static int after_faulty(const std::vector<std::string> &command, bool trouble)
+{
+	Settings settings;
+	std::string status;
+	JobInfo service = array_job(1, 1, 0), faulty = array_job(2, 4, 0), sound = array_job(3, 1, 2);
+
+	settings.capacity = 1;
+	settings.ready_s = 2;
+	World &world = new_world(settings, command);
+	world.start_all();
+	service.kind = "standing";
+	faulty.fails = true;
+	if (!world.wait_ready(10) || !submit_until_accepted(world, 0, service))
+		return 2;
+	for (double until = now_s() + 10; world.running_tasks(service.ref) == 0; sleep_s(0.2))
+		if (now_s() > until)
+			return 2;
+	if (trouble) {
+		if (!submit_until_accepted(world, 1, faulty))
+			return 2;
+		sleep_s(6);
+		for (double until = now_s() + 10; world.cancel(2, faulty.ref, status) != 200;
+		     sleep_s(1))
+			if (now_s() > until)
+				return 2;
+	}
+	if (!submit_until_accepted(world, 0, sound))
+		return 2;
+	double accepted_at = now_s();
+	while (world.starts(sound.ref) == 0 && now_s() < accepted_at + 90)
+		sleep_s(0.1);
+	double waited = now_s() - accepted_at;
+	world.with_lock([&] {
+		for (auto &machine : world.machines)
+			if (!machine->gone)
+				record("%s: up, %zu tasks", machine->name.c_str(),
+				       machine->tasks.size());
+	});
+	record("%s waited %.1f s, %d starts", sound.ref.c_str(), waited, world.starts(sound.ref));
+	return world.starts(sound.ref) == 0 ? 1 : 0;
+}
+
 int run_scenario(const std::string &name, const std::vector<std::string> &command, bool trouble)
 {
 	int result = 2;
 
 	if (name == "limits")
 		result = limits(command, trouble);
+	if (name == "after_faulty")
+		result = after_faulty(command, trouble);
 	if (name == "late_cancel")
 		result = late_cancel(command, trouble);
 	if (the_world)
