--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++17 -O1 -Wall -Wextra -pthread review/standins/*.cc -o target/review/review_world
+g++ -std=c++17 -O1 -Wall -Wextra -pthread review/standins/*.cc -o target/review/review_world.new
+mv target/review/review_world.new target/review/review_world
--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -3,11 +3,18 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <signal.h>
 #include <unistd.h>
 
 #include "scenarios.h"
 #include "util.h"
 
+static void end_run(int)
+{
+	end_processes();
+	_exit(2);
+}
+
 int main(int argc, char **argv)
 {
 	bool trouble = !getenv("TROUBLE") || strcmp(getenv("TROUBLE"), "0") != 0;
@@ -19,6 +26,11 @@
 	}
 	record_open(argv[2]);
 	record("scenario %s, %s the disruption", argv[1], trouble ? "with" : "without");
+	// At the latest after 118 s, and if the run is interrupted, all processes are ended.
+	signal(SIGALRM, end_run);
+	signal(SIGTERM, end_run);
+	signal(SIGINT, end_run);
+	alarm(118);
 	result = run_scenario(argv[1], std::vector<std::string>(argv + 3, argv + argc), trouble);
 	record("result %d: %s", result,
 	       result == 0 ? "the rule held" : result == 1 ? "the rule was broken" : "not run");
--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -448,6 +448,13 @@
 		::kill(pids[(size_t)number], value);
 }
 
+void World::kill_all()
+{
+	for (pid_t pid : pids)
+		if (pid > 0)
+			::kill(pid, SIGKILL);
+}
+
 void World::kill(int number)
 {
 	if (pids[(size_t)number] <= 0)
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -163,6 +163,7 @@
 	void start(int controller);
 	void start_all();
 	void kill(int controller);
+	void kill_all();  // only sends the signals
 	void signal(int controller, int number);
 	bool running(int controller) const { return pids[(size_t)controller] > 0; }
 	bool wait_ready(double timeout_s);  // all controllers answer /ready, and one leads
