--- a/review/standins/util.h
+++ b/review/standins/util.hh
@@ -15,8 +15,8 @@
 
 // ---- clock, record ----
 
-double now_s();                // seconds since the start of the run, real clock
-void sleep_s(double seconds);  // returns at once if seconds <= 0
+double now_s();               // seconds since the start of the run, real clock
+void sleep_s(double seconds); // returns at once if seconds <= 0
 void record_open(const std::string &path);
 void record(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
@@ -30,8 +30,18 @@
 	std::vector<Json> a;
 	std::vector<std::pair<std::string, Json>> o;
 
-	static Json object() { Json j; j.kind = Object; return j; }
-	static Json array() { Json j; j.kind = Array; return j; }
+	static Json object()
+	{
+		Json j;
+		j.kind = Object;
+		return j;
+	}
+	static Json array()
+	{
+		Json j;
+		j.kind = Array;
+		return j;
+	}
 	Json() {}
 	Json(double v) : kind(Number), n(v) {}
 	Json(int v) : kind(Number), n(v) {}
@@ -59,7 +69,7 @@
 struct Response {
 	int status = 200;
 	std::string body = "{}";
-	bool no_answer = false;  // the connection stays open until the client closes it
+	bool no_answer = false; // the connection stays open until the client closes it
 };
 
 using Handler = std::function<Response(const Request &)>;
@@ -69,16 +79,21 @@
 int free_port();
 
 // A connection to a server on 127.0.0.1, opened when it is needed.
-class Client {
+class Client
+{
       public:
 	explicit Client(int port) : port(port) {}
 	~Client() { close_connection(); }
 	// Returns the status, or 0 if no response came in time or the connection failed.
 	int call(const std::string &method, const std::string &path, const std::string &body,
 	         double timeout_s, std::string &response_body, std::string *retry_after = nullptr);
+	// As call, over a slow link: the request leaves evenly within `send_s`.
+	int call_slowly(const std::string &method, const std::string &path, const std::string &body,
+	                double send_s, double timeout_s, std::string &response_body);
 	void close_connection();
 
       private:
+	bool connect_to_server();
 	int port, fd = -1;
 };
 
