--- a/review/standins/scenarios.cc
+++ b/review/standins/scenarios.cc
@@ -140,7 +140,7 @@
 {
 	Settings settings;
 	std::string status;
-	const int count = 200;
+	const int count = 250;
 	std::vector<std::thread> threads;
 	// Static, since the threads of the stand-in use them until the program exits.
 	static std::mt19937 random(5);
@@ -194,7 +194,7 @@
 							int code = world.poll(node, ref, s);
 							check_answer(world, *told, ref, node,
 							             sent_at, code, s);
-							sleep_s(0.1);
+							sleep_s(0.05);
 						}
 					});
 			};
--- a/review/standins/util.cc
+++ b/review/standins/util.cc
@@ -437,19 +437,23 @@
 	close(fd);
 }
 
-static int listen_on_free_port(int &port)
+// Listens on this port of 127.0.0.1, 0: on any free one. Returns the socket, or -1.
+static int listen_on_port(int &port)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), enabled = 1;
 	struct sockaddr_in address = {};
 	socklen_t length = sizeof(address);
 
+	if (fd < 0)
+		return -1;
 	address.sin_family = AF_INET;
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)port);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-	if (fd < 0 || bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
-	    listen(fd, 512) != 0 || getsockname(fd, (struct sockaddr *)&address, &length) != 0) {
-		perror("listen");
-		_exit(2);
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 || listen(fd, 512) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&address, &length) != 0) {
+		close(fd);
+		return -1;
 	}
 	port = ntohs(address.sin_port);
 	return fd;
@@ -457,8 +461,12 @@
 
 int serve(Handler handler)
 {
-	int port, fd = listen_on_free_port(port);
+	int port = 0, fd = listen_on_port(port);
 
+	if (fd < 0) {
+		perror("listen");
+		_exit(2);
+	}
 	std::thread([fd, handler] {
 		for (;;) {
 			int connection = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
@@ -472,12 +480,20 @@
 	return port;
 }
 
+// A port below those that the system takes for outgoing connections, which could occupy it before
+// the controller listens on it.
 int free_port()
 {
-	int port, fd = listen_on_free_port(port);
+	static std::mt19937 random(std::random_device{}());
 
-	close(fd);
-	return port;
+	for (;;) {
+		int port = 10000 + (int)(random() % 20000), fd = listen_on_port(port);
+
+		if (fd < 0)
+			continue;
+		close(fd);
+		return port;
+	}
 }
 
 void Client::close_connection()
