Cancellation: the log shows a write without a certain outcome, and what was read after it

Change: two lines of the area jobs, at info: a cancellation write without a certain outcome with the revision that it expects, and each reading of the record with the revision that was found.

--- a/src/coordination/api/cancellation.c
+++ b/src/coordination/api/cancellation.c
@@ -91,6 +91,11 @@
 		/* The write was not executed: the record is unchanged. */
 		job->record.write_outcome_unknown = false;
 	} else {
+		fl_info("jobs",
+		        "cancellation write has no certain outcome job=%s expected_revision=%llu "
+		        "result=\"%s\"",
+		        ref, (unsigned long long)job->record.mod_revision,
+		        fl_kv_result_text(result));
 		fl_job_record_refresh(node, ref, &refreshed);
 	}
 }
--- a/src/coordination/persistence/job_record_refresh.c
+++ b/src/coordination/persistence/job_record_refresh.c
@@ -28,6 +28,8 @@
 	if (result == FL_RECORD_FOUND) {
 		*out = (struct fl_refreshed_job){.is_finished = !value, .status = record.status};
 		job = node->leadership.active ? fl_job_find(&node->cluster, ref) : NULL;
+		fl_info("jobs", "job record read again job=%s revision=%llu final=%d", ref,
+		        (unsigned long long)revision, record.final);
 		if (value && job)
 			fl_job_record_apply_cancellation(node, job, &record, revision);
 	}
