Job records: a write without an answer stays unresolved until the record has changed

Cause: a cancellation that got no answer within 1 s was followed by a read of the job's record. The read found the record unchanged, and the leader then took its memory for certain again (write_outcome_unknown was cleared). But the store may execute the write at any later time. A follower sees it by its watch first, and the leader answers from memory until its own watch returns. The same flag was cleared by the read before a second cancellation, and by a second write that was refused (429, 503) while the first one was still open; for final records, too.

Change: the leader counts, for each job, its writes of the record that expect the known revision and that are in flight or without an answer (unresolved_writes). A refused write is taken out of the count, and a newer revision of the record, from any source, sets it to 0; nothing else does. Cancellations and final records are sent through one function (job_record_txn) that counts. A second cancellation is sent without reading first: it expects the same revision, so at most one of them is executed.

Why this works: all unresolved writes expect the same revision of the record. Once the record is seen with a newer one, none of them can be executed any more; before that, each answer is a read of the record that was sent after the question.

--- a/src/coordination/api/cancellation.c
+++ b/src/coordination/api/cancellation.c
@@ -4,6 +4,7 @@
 #include "coordination/api/job_status_response.h"
 #include "coordination/node.h"
 #include "coordination/persistence/job_record_refresh.h"
+#include "coordination/persistence/job_record_txn.h"
 #include "coordination/responses.h"
 #include "coordination/workers/command.h"
 #include "storage/job_records.h"
@@ -35,17 +36,13 @@
 static struct fl_job *find_cancellable_job(struct fl_node *node, const char *ref,
                                            struct fl_http_response *response)
 {
-	struct fl_job *job = fl_job_find(&node->cluster, ref);
-	struct fl_refreshed_job refreshed;
+	struct fl_job *job = fl_is_leader(node) ? fl_job_find(&node->cluster, ref) : NULL;
 
-	if (job->record.write_outcome_unknown && !job->record.final_write_in_flight)
-		fl_job_record_refresh(node, ref, &refreshed);
-	job = fl_is_leader(node) ? fl_job_find(&node->cluster, ref) : NULL;
 	if (job && job->cancelled) {
 		fl_respond_cancellation(response, ref, FL_CANCELLED);
 		return NULL;
 	}
-	if (!job || job->record.final_write_in_flight || job->record.write_outcome_unknown) {
+	if (!job || job->record.final_write_in_flight) {
 		fl_respond_unavailable(response, "the job's state is being written");
 		return NULL;
 	}
@@ -56,19 +53,17 @@
 static enum fl_kv_result store_cancellation(struct fl_node *node, const struct fl_job *job,
                                             double cancelled_wall, uint64_t *revision)
 {
-	struct fl_kv_txn txn;
+	struct fl_job_record_txn txn;
 	struct fl_job_spec spec;
 	char key[FL_KEY_MAX];
 
 	fl_key_job(key, job->ref);
 	fl_job_to_spec(&node->cluster, job, &spec);
-	fl_kv_txn_init(&txn);
-	fl_kv_txn_expect_revision(&txn, FL_KEY_LEADER, node->leader_lease.leader_mod_revision);
-	fl_kv_txn_expect_revision(&txn, key, job->record.mod_revision);
-	fl_kv_txn_put(&txn, key,
+	fl_job_record_txn_begin(node, job, &txn);
+	fl_kv_txn_put(&txn.txn, key,
 	              fl_job_record_encode_cancelled(&spec, job->submitted_wall, cancelled_wall),
 	              0);
-	return fl_kv_txn_commit(&node->kv_store, &txn, revision, NULL);
+	return fl_job_record_txn_commit(node, &txn, revision);
 }
 
 /* Applies the result of the write; the job or the leadership may have ended during the write. */
@@ -87,15 +82,7 @@
 		fl_cluster_update_live_job(&node->cluster, job, &record, revision);
 		fl_command_stop_cancelled_job(node, job);
 		fl_info("jobs", "job cancelled job=%s", ref);
-	} else if (result == FL_KV_UNAVAILABLE) {
-		/* The write was not executed: the record is unchanged. */
-		job->record.write_outcome_unknown = false;
-	} else {
-		fl_info("jobs",
-		        "cancellation write has no certain outcome job=%s expected_revision=%llu "
-		        "result=\"%s\"",
-		        ref, (unsigned long long)job->record.mod_revision,
-		        fl_kv_result_text(result));
+	} else if (!fl_job_record_txn_was_refused(result)) {
 		fl_job_record_refresh(node, ref, &refreshed);
 	}
 }
@@ -117,8 +104,6 @@
 	job = find_cancellable_job(node, ref, response);
 	if (!job)
 		return;
-	/* Until the write returns, status queries read the record: fl_job_status_from_memory. */
-	job->record.write_outcome_unknown = true;
 	result = store_cancellation(node, job, cancelled_wall, &revision);
 	apply_write_result(node, ref, result, cancelled_wall, revision);
 	finished = fl_finished_job_find(&node->cluster, ref);
--- a/src/coordination/api/status_from_leader.c
+++ b/src/coordination/api/status_from_leader.c
@@ -18,7 +18,7 @@
 	if (finished)
 		return fl_final_job_report(finished->status, finished->task_count);
 	/* Another node may already have read a final record whose write is not confirmed here. */
-	if (!job || job->record.final_write_in_flight || job->record.write_outcome_unknown)
+	if (!job || job->record.final_write_in_flight || job->record.unresolved_writes > 0)
 		return (struct fl_job_status_report){0};
 	return fl_live_job_report(job);
 }
--- a/src/coordination/persistence/final_record_writer.c
+++ b/src/coordination/persistence/final_record_writer.c
@@ -2,6 +2,7 @@
 
 #include "coordination/node.h"
 #include "coordination/persistence/job_record_refresh.h"
+#include "coordination/persistence/job_record_txn.h"
 #include "coordination/persistence/pending_deletions.h"
 #include "coordination/persistence/record_txn.h"
 #include "storage/job_records.h"
@@ -18,14 +19,14 @@
  * records. Returns the index of the first block whose deletion did not fit.
  */
 static uint32_t build_final_txn(const struct fl_node *node, const struct fl_job *job,
-                                enum fl_job_status status, struct fl_kv_txn *txn)
+                                enum fl_job_status status, struct fl_job_record_txn *record_txn)
 {
+	struct fl_kv_txn *txn = &record_txn->txn;
 	char key[FL_KEY_MAX];
 	uint32_t block_index = 0;
 
-	fl_record_txn_init(&node->leader_lease, txn);
+	fl_job_record_txn_begin(node, job, record_txn);
 	fl_key_job(key, job->ref);
-	fl_kv_txn_expect_revision(txn, key, job->record.mod_revision);
 	fl_kv_txn_delete(txn, key);
 	fl_key_finished(key, job->ref);
 	fl_kv_txn_put(txn, key, fl_job_record_encode_final(status, job->task_count), 0);
@@ -63,31 +64,30 @@
 {
 	enum fl_job_status status = job->cancelled ? FL_CANCELLED : FL_DONE;
 	enum fl_kv_result result;
-	struct fl_kv_txn txn;
+	struct fl_job_record_txn txn;
 	uint64_t revision;
 	uint32_t undeleted_from = build_final_txn(node, job, status, &txn);
 
-	result = fl_record_txn_admit(node, &txn);
+	result = fl_record_txn_admit(node, &txn.txn);
 	if (result != FL_KV_OK)
 		return result;
 	job->record.final_write_in_flight = true;
-	result = fl_record_txn_commit(node, &txn, &revision);
+	result = fl_job_record_txn_commit(node, &txn, &revision);
 	if (result == FL_KV_OK) {
 		defer_deletions(node, job, undeleted_from);
 		finish_job(node, job, status);
 		return FL_KV_OK;
 	}
 	job->record.final_write_in_flight = false;
-	job->record.write_outcome_unknown = result != FL_KV_UNAVAILABLE;
 	return result;
 }
 
-/* Finishes a job; first reads its records if an earlier write of them had an unknown outcome. */
+/* Finishes a job; first reads its records if an earlier write of them is unresolved. */
 static enum fl_kv_result finalise_job(struct fl_node *node, struct fl_job *job)
 {
 	struct fl_refreshed_job refreshed;
 
-	if (!job->record.write_outcome_unknown)
+	if (job->record.unresolved_writes == 0)
 		return write_final_record(node, job);
 	if (fl_job_record_refresh(node, job->ref, &refreshed) != FL_RECORD_FOUND)
 		return FL_KV_UNAVAILABLE;
--- a/src/coordination/persistence/job_record_refresh.h
+++ b/src/coordination/persistence/job_record_refresh.h
@@ -8,7 +8,7 @@
 
 struct fl_node;
 
-/* The stored state of a job whose last write had an unknown outcome. */
+/* The stored state of a job with unresolved writes. */
 struct fl_refreshed_job {
 	bool is_finished;          /* its final record is stored */
 	enum fl_job_status status; /* final status, valid if `is_finished` */
@@ -23,10 +23,10 @@
 void fl_job_record_apply_cancellation(struct fl_node *node, struct fl_job *job,
                                       const struct fl_job_record *record, uint64_t revision);
 /*
- * Reads the records of a job whose last write had an unknown outcome. Takes a job id, not a
- * pointer, since the job may be dropped before the response arrives. Only the record writer may
- * drop a job, so a finished job keeps its `write_outcome_unknown`. `out` is set only if a record
- * was found.
+ * Reads the records of a job with unresolved writes, which it resolves only if the record has
+ * changed. Takes a job id, not a pointer, since the job may be dropped before the response arrives.
+ * Only the record writer may drop a job, so a finished job keeps its `unresolved_writes`. `out` is
+ * set only if a record was found.
  */
 enum fl_record_result fl_job_record_refresh(struct fl_node *node, const char *ref,
                                             struct fl_refreshed_job *out);
--- a/src/storage/cluster.c
+++ b/src/storage/cluster.c
@@ -79,7 +79,7 @@
 	job->retry.not_before = 0;
 	job->record.is_dirty = false;
 	job->record.final_write_in_flight = false;
-	job->record.write_outcome_unknown = false;
+	job->record.unresolved_writes = 0;
 }
 
 void fl_cluster_free_leader_state(struct fl_cluster *cluster)
--- a/src/storage/cluster.h
+++ b/src/storage/cluster.h
@@ -83,7 +83,11 @@
 	bool is_dirty;              /* the job is on that list */
 	bool seen_in_list;          /* the list of job records being read contains the job */
 	bool final_write_in_flight; /* a write of the final record is in flight */
-	bool write_outcome_unknown; /* a write's outcome is unknown; read before writing again */
+	/*
+	 * Number of this leader's writes of the job record that expect `mod_revision` and may still
+	 * be executed: in flight, or without an answer. If > 0, only the record shows the state.
+	 */
+	uint32_t unresolved_writes;
 };
 
 /* A live job: one that is not finished yet. */
--- a/src/storage/job_updates.c
+++ b/src/storage/job_updates.c
@@ -25,8 +25,11 @@
 bool fl_cluster_update_live_job(struct fl_cluster *cluster, struct fl_job *job,
                                 const struct fl_job_record *record, uint64_t revision)
 {
-	job->record.mod_revision = revision;
-	job->record.write_outcome_unknown = false;
+	/* Writes that expect the older revision can no longer be executed. */
+	if (revision > job->record.mod_revision) {
+		job->record.mod_revision = revision;
+		job->record.unresolved_writes = 0;
+	}
 	if (!record->final || job->cancelled)
 		return false;
 	job->cancelled = true;
--- a/src/storage/job_updates.h
+++ b/src/storage/job_updates.h
@@ -16,7 +16,10 @@
 struct fl_job *fl_cluster_apply_job_record(struct fl_cluster *cluster, const char *ref,
                                            const cJSON *value, uint64_t revision);
 
-/* Updates a leader's live job from its record; returns whether the job is newly cancelled. */
+/*
+ * Updates a leader's live job from its record; returns whether the job is newly cancelled. Only a
+ * newer revision than the known one resolves the job's unresolved writes.
+ */
 bool fl_cluster_update_live_job(struct fl_cluster *cluster, struct fl_job *job,
                                 const struct fl_job_record *record, uint64_t revision);
 
--- a/tests/test_cancellation.c
+++ b/tests/test_cancellation.c
@@ -142,12 +142,12 @@
 	struct fl_job_record decoded;
 	cJSON *record;
 
-	fixture->job->record.write_outcome_unknown = true;
+	fixture->job->record.unresolved_writes = 1;
 	record = cancelled_job_record(fixture, 3);
 	assert_int_equal(fl_job_record_decode(record, fixture->job->ref, &decoded), 0);
 
 	fl_job_record_apply_cancellation(&fixture->node, fixture->job, &decoded, 9);
-	assert_true(fixture->job->cancelled && !fixture->job->record.write_outcome_unknown &&
+	assert_true(fixture->job->cancelled && fixture->job->record.unresolved_writes == 0 &&
 	            fixture->job->record.mod_revision == 9);
 
 	/*
--- a/tests/test_job_lookup.c
+++ b/tests/test_job_lookup.c
@@ -174,7 +174,7 @@
 	fl_job_lookups_init(node);
 	job = fl_job_add(&node->cluster, &spec, fl_wall_time(), 1);
 	/* The outcome of the job's final write is unknown, so the leader has to read the record. */
-	job->record.write_outcome_unknown = true;
+	job->record.unresolved_writes = 1;
 	spawn_query(fixture, &query, "run-000001");
 	while (fixture->record_reads < 1)
 		fl_sleep(0.01);
--- a/tests/test_status_query.c
+++ b/tests/test_status_query.c
@@ -196,7 +196,7 @@
 	format_ref(queries[1].ref, 1);
 	format_ref(queries[2].ref, 2);
 	fl_job_find(&scenario.leader.cluster, queries[1].ref)->record.final_write_in_flight = true;
-	fl_job_find(&scenario.leader.cluster, queries[2].ref)->record.write_outcome_unknown = true;
+	fl_job_find(&scenario.leader.cluster, queries[2].ref)->record.unresolved_writes = 1;
 	run_queries(queries, 3);
 
 	for (int i = 0; i < 3; i++) {
--- /dev/null
+++ b/tests/test_unanswered_writes.c
@@ -0,0 +1,410 @@
+/*
+ * Writes of a job's record that get no answer: the key-value store may still execute them, so until
+ * the record has changed only the record shows the job's status. The test has one leader in virtual
+ * time and a model of the key-value store, which refuses, delays or answers each write as the test
+ * says.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/api/cancellation.h"
+#include "coordination/api/status_from_leader.h"
+#include "coordination/node.h"
+#include "coordination/persistence/final_record_writer.h"
+#include "kv_model.h"
+#include "storage/job_records.h"
+#include "storage/keys.h"
+#include "transport/clock.h"
+#include "virtual_time_fixture.h"
+
+#define REF "run-000001"
+
+enum { WRITES_MAX = 4, TASKS = 2 };
+
+/* What the store does with a write. */
+enum write_fate {
+	WRITE_ANSWERED,  /* executes and answers it */
+	WRITE_REFUSED,   /* answers 503 */
+	WRITE_THROTTLED, /* answers 429 */
+	WRITE_DELAYED    /* keeps it without an answer, until the test executes it */
+};
+
+struct scripted_write {
+	enum write_fate fate;
+	double answer_after_s;
+};
+
+static struct {
+	struct fl_node node;
+	struct fl_config config;
+	struct kv_model store;
+	struct scripted_write writes[WRITES_MAX];
+	int write_count;      /* writes received so far */
+	cJSON *delayed_write; /* NULL: none, or executed */
+} scenario;
+
+/* Computation takes no virtual time. */
+void sim_process_delay_if_slow(int process) { (void)process; }
+
+/* ---- the store ---- */
+
+static int serve_write(const char *body, double timeout_s, struct fl_http_response *response)
+{
+	struct scripted_write write;
+	cJSON *transaction;
+
+	sim_require(scenario.write_count < WRITES_MAX);
+	write = scenario.writes[scenario.write_count++];
+	fl_sleep(write.answer_after_s);
+	if (write.fate == WRITE_REFUSED || write.fate == WRITE_THROTTLED) {
+		response->status = write.fate == WRITE_REFUSED ? 503 : 429;
+		response->body = strdup("{}");
+		return 0;
+	}
+	transaction = fl_json_parse(body, strlen(body));
+	if (write.fate == WRITE_DELAYED) {
+		sim_require(!scenario.delayed_write);
+		scenario.delayed_write = transaction;
+		fl_sleep(timeout_s - write.answer_after_s);
+		return -ETIMEDOUT;
+	}
+	kv_model_serve_transaction(&scenario.store, transaction, response);
+	cJSON_Delete(transaction);
+	return 0;
+}
+
+int fl_http_call(struct fl_http_client *client, const char *method, const char *path,
+                 const char *body, double timeout_s, struct fl_http_reply *out)
+{
+	static const char keys[] = "/keys/";
+	struct fl_http_response response = {0};
+	int rc = 0;
+
+	(void)client, (void)method;
+	if (fl_sleep(0.002) != 0)
+		return -ECANCELED;
+	if (strcmp(path, "/multi") == 0) {
+		rc = serve_write(body, timeout_s, &response);
+	} else {
+		sim_require(strncmp(path, keys, strlen(keys)) == 0);
+		kv_model_serve_get(&scenario.store, path + strlen(keys), &response);
+	}
+	if (rc == 0)
+		move_response_to_reply(&response, out);
+	return rc;
+}
+
+/* Executes the delayed write; returns the status that it would be answered with. */
+static int execute_delayed_write(void)
+{
+	struct fl_http_response response = {0};
+
+	assert_non_null(scenario.delayed_write);
+	kv_model_serve_transaction(&scenario.store, scenario.delayed_write, &response);
+	cJSON_Delete(scenario.delayed_write);
+	scenario.delayed_write = NULL;
+	free(response.body);
+	return response.status;
+}
+
+/* ---- the leader ---- */
+
+static uint64_t store_value(const char *key, cJSON *value)
+{
+	scenario.store.revision++;
+	kv_model_put(&scenario.store, key, fl_json_print_and_delete(value), 0);
+	return scenario.store.revision;
+}
+
+static void begin_leadership(struct fl_node *node)
+{
+	node->leader_lease.held = node->leadership.active = node->cluster.has_leader_state = true;
+	node->leader_lease.valid_until = fl_now() + 1000;
+	node->leader_lease.leader_mod_revision = store_value(FL_KEY_LEADER, cJSON_CreateObject());
+}
+
+static int set_up(void **state)
+{
+	struct fl_node *node = &scenario.node;
+	struct fl_job_spec spec = {.ref = REF,
+	                           .job_class = "c",
+	                           .team = "t",
+	                           .image = "i",
+	                           .task_count = TASKS,
+	                           .kind = FL_ARRAY,
+	                           .cpus = 1,
+	                           .ram_gb = 1,
+	                           .machine_type_count = FL_ANY_MACHINE_TYPE};
+	char key[FL_KEY_MAX];
+	uint64_t revision;
+
+	(void)state;
+	memset(&scenario, 0, sizeof(scenario));
+	sim_time_begin();
+	scenario.config.state_rps = scenario.config.state_write_rps = 100;
+	scenario.config.txn_ops = 8;
+	node->config = &scenario.config;
+	strcpy(node->cluster.teams.by_index[0].name, "t");
+	node->cluster.teams.count = 1;
+	fl_job_lookups_init(node);
+	fl_record_writer_init_budget(&node->record_writer, scenario.config.state_write_rps);
+	begin_leadership(node);
+	fl_key_job(key, REF);
+	revision = store_value(key, fl_job_record_encode_live(&spec, fl_wall_time()));
+	assert_non_null(fl_job_add(&node->cluster, &spec, fl_wall_time(), revision));
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	virtual_time_end();
+	cJSON_Delete(scenario.delayed_write);
+	fl_cluster_free(&scenario.node.cluster);
+	kv_model_free(&scenario.store);
+	return 0;
+}
+
+static void script_writes(const struct scripted_write *writes, int count)
+{
+	memcpy(scenario.writes, writes, (size_t)count * sizeof(*writes));
+}
+
+/* ---- users ---- */
+
+/* A request of a user to the leader, and the response. */
+struct user_request {
+	void (*handle)(struct fl_node *node, const char *ref, struct fl_http_response *response);
+	double send_delay_s;
+	struct fl_http_response response;
+	bool completed;
+};
+
+static void send_user_request(void *argument)
+{
+	struct user_request *request = argument;
+
+	fl_sleep(request->send_delay_s);
+	request->handle(&scenario.node, REF, &request->response);
+	request->completed = true;
+}
+
+static void spawn_user_request(struct user_request *request)
+{
+	assert_non_null(sim_spawn(0, send_user_request, request));
+}
+
+/* Ends the request; it must have this status, and a body with this text unless it is NULL. */
+static void expect_response(struct user_request *request, int status, const char *text)
+{
+	assert_true(request->completed);
+	assert_int_equal(request->response.status, status);
+	if (text)
+		assert_non_null(strstr(request->response.body, text));
+	free(request->response.body);
+}
+
+static void run_for(double seconds) { sim_time_run(fl_now() + seconds); }
+
+static void expect_cancellation(int status, const char *text)
+{
+	struct user_request request = {.handle = fl_leader_cancel_job};
+
+	spawn_user_request(&request);
+	run_for(5);
+	expect_response(&request, status, text);
+}
+
+static void expect_status(const char *text)
+{
+	struct user_request request = {.handle = fl_leader_respond_job_status};
+
+	spawn_user_request(&request);
+	run_for(2);
+	expect_response(&request, 200, text);
+}
+
+static bool memory_shows_status(void)
+{
+	return fl_job_status_from_memory(&scenario.node.cluster, REF).status_known;
+}
+
+/* ---- cancellations ---- */
+
+/*
+ * Guards against a job that is reported as cancelled and then as running: after a cancellation
+ * without an answer, a read found the record unchanged, and the leader answered from memory again,
+ * while the store executed the write seconds later and a follower saw it first.
+ */
+static void a_status_is_read_until_a_delayed_cancellation_is_executed(void **state)
+{
+	const struct scripted_write writes[] = {{.fate = WRITE_DELAYED}};
+
+	(void)state;
+	script_writes(writes, 1);
+	expect_cancellation(503, NULL);
+	assert_false(memory_shows_status());
+	expect_status("pending");
+	assert_false(memory_shows_status());
+
+	assert_int_equal(execute_delayed_write(), 200);
+	expect_status("aborted");
+}
+
+/* The same if the second cancellation is refused: the first may be executed nevertheless. */
+static void a_refused_cancellation_does_not_settle_an_earlier_one(void **state)
+{
+	const struct scripted_write writes[] = {
+		{.fate = WRITE_DELAYED}, {.fate = WRITE_REFUSED}, {.fate = WRITE_THROTTLED}};
+
+	(void)state;
+	script_writes(writes, 3);
+	expect_cancellation(503, NULL);
+	expect_cancellation(503, NULL);
+	expect_cancellation(503, NULL);
+	assert_int_equal(scenario.write_count, 3);
+	assert_false(memory_shows_status());
+
+	assert_int_equal(execute_delayed_write(), 200);
+	expect_status("aborted");
+}
+
+/* The same if the refused one is the first, and its answer comes while the other is in flight. */
+static void a_refused_cancellation_does_not_settle_a_later_one(void **state)
+{
+	const struct scripted_write writes[] = {{.fate = WRITE_REFUSED, .answer_after_s = 0.5},
+	                                        {.fate = WRITE_DELAYED}};
+	struct user_request first = {.handle = fl_leader_cancel_job};
+	struct user_request second = {.handle = fl_leader_cancel_job, .send_delay_s = 0.1};
+
+	(void)state;
+	script_writes(writes, 2);
+	spawn_user_request(&first);
+	spawn_user_request(&second);
+	run_for(0.8);
+	assert_true(first.completed);
+	assert_false(memory_shows_status());
+	run_for(5);
+	expect_response(&first, 503, NULL);
+	expect_response(&second, 503, NULL);
+	assert_false(memory_shows_status());
+
+	assert_int_equal(execute_delayed_write(), 200);
+	expect_status("aborted");
+}
+
+/* The cancellation that is answered changes the record, so that the delayed one has no effect. */
+static void a_second_cancellation_settles_a_delayed_one(void **state)
+{
+	const struct scripted_write writes[] = {{.fate = WRITE_DELAYED}, {.fate = WRITE_ANSWERED}};
+
+	(void)state;
+	script_writes(writes, 2);
+	expect_cancellation(503, NULL);
+	expect_cancellation(200, "aborted");
+	assert_int_equal(execute_delayed_write(), 409);
+	assert_true(memory_shows_status());
+	expect_status("aborted");
+}
+
+static void a_second_cancellation_finds_a_delayed_one_executed(void **state)
+{
+	const struct scripted_write writes[] = {{.fate = WRITE_DELAYED}, {.fate = WRITE_ANSWERED}};
+
+	(void)state;
+	script_writes(writes, 2);
+	expect_cancellation(503, NULL);
+	assert_int_equal(execute_delayed_write(), 200);
+	expect_cancellation(200, "aborted");
+	assert_true(memory_shows_status());
+}
+
+/* A refused write is never executed, so memory is as good as before. */
+static void a_refused_cancellation_alone_leaves_the_status_known(void **state)
+{
+	const struct scripted_write writes[] = {{.fate = WRITE_REFUSED}};
+
+	(void)state;
+	script_writes(writes, 1);
+	expect_cancellation(503, NULL);
+	assert_true(memory_shows_status());
+}
+
+/* ---- final records ---- */
+
+static void write_final_record(void *argument)
+{
+	(void)argument;
+	fl_final_record_write_one(&scenario.node);
+}
+
+static void finish_all_tasks(void)
+{
+	struct fl_job *job = fl_job_find(&scenario.node.cluster, REF);
+
+	for (uint32_t i = 0; i < TASKS; i++)
+		fl_task_mark_done(&scenario.node.cluster, job, i);
+}
+
+/*
+ * Guards against a job that is reported as done and then as pending: the final write got no answer,
+ * its repetition was refused, and the leader answered from memory although the first write could
+ * still be executed.
+ */
+static void a_refused_final_write_does_not_settle_an_earlier_one(void **state)
+{
+	const struct scripted_write writes[] = {{.fate = WRITE_DELAYED}, {.fate = WRITE_REFUSED}};
+
+	(void)state;
+	script_writes(writes, 2);
+	finish_all_tasks();
+	for (int i = 0; i < 2; i++) {
+		assert_non_null(sim_spawn(0, write_final_record, NULL));
+		run_for(3);
+	}
+	assert_int_equal(scenario.write_count, 2);
+	assert_false(memory_shows_status());
+
+	assert_int_equal(execute_delayed_write(), 200);
+	expect_status("done");
+}
+
+static void a_repeated_final_write_settles_a_delayed_one(void **state)
+{
+	const struct scripted_write writes[] = {{.fate = WRITE_DELAYED}, {.fate = WRITE_ANSWERED}};
+
+	(void)state;
+	script_writes(writes, 2);
+	finish_all_tasks();
+	for (int i = 0; i < 2; i++) {
+		assert_non_null(sim_spawn(0, write_final_record, NULL));
+		run_for(3);
+	}
+	assert_int_equal(execute_delayed_write(), 409);
+	assert_true(memory_shows_status());
+	expect_status("done");
+}
+
+int main(void)
+{
+#define WRITE_TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+		WRITE_TEST(a_status_is_read_until_a_delayed_cancellation_is_executed),
+		WRITE_TEST(a_refused_cancellation_does_not_settle_an_earlier_one),
+		WRITE_TEST(a_refused_cancellation_does_not_settle_a_later_one),
+		WRITE_TEST(a_second_cancellation_settles_a_delayed_one),
+		WRITE_TEST(a_second_cancellation_finds_a_delayed_one_executed),
+		WRITE_TEST(a_refused_cancellation_alone_leaves_the_status_known),
+		WRITE_TEST(a_refused_final_write_does_not_settle_an_earlier_one),
+		WRITE_TEST(a_repeated_final_write_settles_a_delayed_one),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
