Starts: no task of a job starts while a write of its record is unresolved

Cause: the leader starts tasks as long as it does not know of the cancellation itself. Between the sending of a cancellation and its answer, or for seconds if there is none, another controller may have read the cancelled record and told a user; from then on no task may be started.

Change: while a write of the job's record is unresolved, the job's tasks are neither placed nor started, by a reply to a heartbeat or by a direct command (fl_attempt_may_start). What was placed stays placed and counts. If the only unresolved write is refused, the starts go on at once.

--- a/src/coordination/persistence/job_record_txn.c
+++ b/src/coordination/persistence/job_record_txn.c
@@ -2,6 +2,7 @@
 
 #include "coordination/node.h"
 #include "coordination/persistence/record_txn.h"
+#include "coordination/workers/command.h"
 #include "storage/keys.h"
 #include "transport/log.h"
 #include "transport/text.h"
@@ -31,6 +32,14 @@
 	return job;
 }
 
+/* Starts the job's tasks that were held back while a write of its record was unresolved. */
+static void resume_starts(struct fl_node *node, const struct fl_job *job)
+{
+	fl_command_send_for_job(node, job);
+	node->leadership.cycle_due = true;
+	fl_condition_broadcast(&node->leadership.work_available);
+}
+
 bool fl_job_record_txn_was_refused(enum fl_kv_result result)
 {
 	return result == FL_KV_UNAVAILABLE || result == FL_KV_INVALID;
@@ -49,8 +58,11 @@
 	job = is_counted ? find_unchanged_job(node, txn) : NULL;
 	if (!job)
 		return result;
-	if (fl_job_record_txn_was_refused(result))
+	if (fl_job_record_txn_was_refused(result)) {
 		job->record.unresolved_writes--;
+		if (job->record.unresolved_writes == 0)
+			resume_starts(node, job);
+	}
 	if (job->record.unresolved_writes > 0 && result != FL_KV_OK)
 		fl_info("jobs",
 		        "job record uncertain job=%s expected_revision=%llu unresolved_writes=%u "
--- a/src/coordination/persistence/job_record_txn.h
+++ b/src/coordination/persistence/job_record_txn.h
@@ -3,7 +3,8 @@
  * be executed at any later time, as long as the leader key and the record are unchanged. Such
  * transactions are counted in `unresolved_writes` of the job, and while there are any, the record
  * and not the leader's memory shows the state of the job. Only a newer revision of the record
- * resolves them: reading the record unchanged, or the refusal of another transaction, does not.
+ * resolves them: reading the record unchanged, or the refusal of another transaction, does not. No
+ * task of the job is started meanwhile.
  */
 #ifndef FL_COORDINATION_PERSISTENCE_JOB_RECORD_TXN_H
 #define FL_COORDINATION_PERSISTENCE_JOB_RECORD_TXN_H
--- a/src/coordination/scheduling/scheduling_snapshot.c
+++ b/src/coordination/scheduling/scheduling_snapshot.c
@@ -122,6 +122,12 @@
 	snapshot->jobs[snapshot->input.job_count++] = job;
 }
 
+/* Returns whether tasks of the job may be placed; an unresolved write may cancel the job. */
+static bool may_start_tasks(const struct fl_job *job)
+{
+	return !job->cancelled && job->record.unresolved_writes == 0 && job->counts.waiting > 0;
+}
+
 /* Returns whether new tasks may be placed on the machine. */
 static bool is_schedulable(const struct fl_node *node, const struct fl_machine *machine, double now)
 {
@@ -301,7 +307,7 @@
 	memcpy(snapshot->input.teams, cluster->teams.by_index, sizeof(cluster->teams.by_index));
 	mark_jobs_within_guarantee(cluster, snapshot->jobs);
 	HASH_ITER (hh, cluster->jobs, job, next)
-		if (!job->cancelled && job->counts.waiting > 0)
+		if (may_start_tasks(job))
 			add_job(&builder, job);
 	for (int i = 0; i < cluster->machines.count; i++)
 		if (is_schedulable(node, cluster->machines.by_id[i], now))
--- a/src/coordination/workers/command.c
+++ b/src/coordination/workers/command.c
@@ -119,7 +119,7 @@
 	return false;
 }
 
-void fl_command_stop_cancelled_job(struct fl_node *node, struct fl_job *job)
+void fl_command_send_for_job(struct fl_node *node, const struct fl_job *job)
 {
 	for (int i = 0; i < node->cluster.machines.count; i++) {
 		struct fl_machine *machine = node->cluster.machines.by_id[i];
@@ -127,6 +127,11 @@
 		if (machine_has_task_of(machine, job))
 			fl_command_send(node, machine);
 	}
+}
+
+void fl_command_stop_cancelled_job(struct fl_node *node, struct fl_job *job)
+{
+	fl_command_send_for_job(node, job);
 	fl_job_mark_dirty(&node->cluster, job);
 	fl_condition_broadcast(&node->record_writer.writes_pending);
 	fl_condition_broadcast(&node->leadership.work_available);
--- a/src/coordination/workers/command.h
+++ b/src/coordination/workers/command.h
@@ -20,6 +20,8 @@
 void fl_command_send(struct fl_node *node, struct fl_machine *machine);
 /* Sends pending commands of all machines; to be called when new tasks' records are written. */
 void fl_command_send_pending(struct fl_node *node);
+/* Sends the machines that have tasks of the job their commands directly. */
+void fl_command_send_for_job(struct fl_node *node, const struct fl_job *job);
 /* Sends stop commands for a job that is marked as cancelled to all machines with its tasks. */
 void fl_command_stop_cancelled_job(struct fl_node *node, struct fl_job *job);
 /* Enforces the cancellation deadline; runs in a coroutine of the leader until it is cancelled. */
--- a/src/coordination/workers/reconciliation_commands.c
+++ b/src/coordination/workers/reconciliation_commands.c
@@ -13,6 +13,11 @@
 	return !job->cancelled && task->stop_reason == FL_STOP_NONE;
 }
 
+bool fl_attempt_may_start(const struct fl_job *job, uint32_t index)
+{
+	return job->record.unresolved_writes == 0 && fl_task_change_is_durable(job, index);
+}
+
 double fl_attempt_grace_period_s(const struct fl_job *job, const struct fl_task *task)
 {
 	if (job->cancelled || job->checkpoint_every_s <= 0 ||
@@ -37,7 +42,7 @@
 						    FL_COMMAND_STOP, job->ref, index, task->attempt,
 						    fl_attempt_grace_period_s(job, task)});
 		} else if (task->last_observed_state == FL_OBSERVED_NONE &&
-		           fl_task_change_is_durable(job, index)) {
+		           fl_attempt_may_start(job, index)) {
 			fl_command_list_add(commands,
 			                    &(struct fl_command){FL_COMMAND_START, job->ref, index,
 			                                         task->attempt, 0});
--- a/src/coordination/workers/reconciliation_internal.h
+++ b/src/coordination/workers/reconciliation_internal.h
@@ -38,6 +38,12 @@
 
 /* Returns whether the attempt should run; otherwise it is to be stopped. */
 bool fl_attempt_should_run(const struct fl_job *job, const struct fl_task *task);
+/*
+ * Returns whether an attempt that should run may be started now: its placement is stored, and no
+ * write of the job's record is unresolved. Such a write may cancel the job, and from the moment a
+ * user is told of that by any node, no task of the job may be started.
+ */
+bool fl_attempt_may_start(const struct fl_job *job, uint32_t index);
 /* Returns the grace period, s, in which a stopped attempt may write its checkpoint. */
 double fl_attempt_grace_period_s(const struct fl_job *job, const struct fl_task *task);
 
--- a/src/coordination/workers/reconciliation_unreported.c
+++ b/src/coordination/workers/reconciliation_unreported.c
@@ -75,7 +75,7 @@
 		release_task_if_absence_proven(context, job, index, task);
 		return FL_REPLY_WITHOUT_START;
 	}
-	if (!context->commands || !fl_task_change_is_durable(job, index))
+	if (!context->commands || !fl_attempt_may_start(job, index))
 		return FL_REPLY_WITHOUT_START;
 	fl_command_list_add(context->commands, &(struct fl_command){FL_COMMAND_START, job->ref,
 	                                                            index, task->attempt, 0});
--- a/tests/test_cancellation.c
+++ b/tests/test_cancellation.c
@@ -15,6 +15,7 @@
 
 #include "coordination/persistence/record_writer.h"
 #include "coordination/persistence/job_record_refresh.h"
+#include "coordination/scheduling/scheduling_snapshot.h"
 #include "node_fixture.h"
 #include "storage/job_records.h"
 #include "storage/job_updates.h"
@@ -167,6 +168,53 @@
 	assert_non_null(fl_finished_job_find(&fixture->node.cluster, fixture->job->ref));
 }
 
+/* Returns how many jobs a scheduling cycle would consider now. */
+static int count_schedulable_jobs(struct node_fixture *fixture)
+{
+	struct fl_snapshot snapshot;
+	int count;
+
+	assert_int_equal(fl_snapshot_take(&fixture->node, &snapshot, fl_now()), FL_SCHEDULE_OK);
+	count = snapshot.input.job_count;
+	fl_snapshot_free(&snapshot);
+	return count;
+}
+
+/* Returns whether a direct command to m-000001 would have any command now. */
+static bool direct_command_is_due(struct node_fixture *fixture)
+{
+	struct fl_command_list commands;
+	bool is_due;
+
+	fl_command_list_init(&commands, FENCING_TOKEN);
+	is_due = fl_reconcile_collect_commands(&fixture->node, only_machine(fixture), &commands);
+	cJSON_Delete(commands.root);
+	return is_due;
+}
+
+/*
+ * Guards against a task that starts after its job was reported as cancelled: the write of the
+ * cancellation had no answer yet, a follower saw it first, and the leader started a task 84 ms
+ * after the follower's answer.
+ */
+static void no_task_starts_while_a_cancellation_may_be_executed(void **state)
+{
+	struct node_fixture *fixture = *state;
+
+	deliver_idle_heartbeat(fixture, 1, 1);
+	place_task(fixture, 0);
+	fixture->job->record.unresolved_writes = 1;
+	assert_int_equal(deliver_idle_heartbeat(fixture, 1, 2), 0);
+	assert_false(direct_command_is_due(fixture));
+	assert_int_equal(count_schedulable_jobs(fixture), 0);
+	assert_int_equal(fixture->job->counts.placed, 1);
+
+	fixture->job->record.unresolved_writes = 0;
+	assert_int_equal(count_schedulable_jobs(fixture), 1);
+	assert_true(direct_command_is_due(fixture));
+	assert_int_equal(deliver_idle_heartbeat(fixture, 1, 3), 1);
+}
+
 /*
  * If the time since the cancellation restarted at each failover, leaders that lead only briefly
  * would never drain the machine of an overdue task.
@@ -195,6 +243,7 @@
 		NODE_TEST(a_repeated_heartbeat_is_answered_with_the_stop_command_again),
 		NODE_TEST(a_new_leader_does_not_renew_the_lease_of_a_cancelled_task),
 		NODE_TEST(a_leader_applies_a_cancellation_from_the_job_record),
+		NODE_TEST(no_task_starts_while_a_cancellation_may_be_executed),
 		NODE_TEST(a_cancellation_keeps_its_age_across_a_failover),
 	};
 
