Cancellations: the leader repeats one whose write got no answer

Cause: since a write without an answer stays unresolved until the record has changed, a job stays uncertain for as long as its user does not repeat the cancellation: no task of it starts, and each status query for it is a read of its record, within the budget for such reads. If the write was lost and the user gives up (users repeat for 60 s in total), that never ends under this leader.

Change: a coroutine of the leader repeats unresolved cancellations, each 1.5 s after the last write, within the write budget, until the record has a newer revision. All writes expect the same revision, so at most one is executed. A cancellation that was refused is not repeated: its user was told so.

Test: the_leader_repeats_a_cancellation_without_an_answer and the_leader_does_not_repeat_a_refused_cancellation in test_unanswered_writes.

--- a/src/coordination/api/cancellation.c
+++ b/src/coordination/api/cancellation.c
@@ -12,6 +12,7 @@
 #include "storage/keys.h"
 #include "transport/clock.h"
 #include "transport/log.h"
+#include "transport/text.h"
 
 /*
  * Loads the job from its record unless the cluster state has it. Returns false if the job is not
@@ -87,13 +88,24 @@
 	}
 }
 
+enum fl_kv_result fl_cancellation_write(struct fl_node *node, const struct fl_job *job)
+{
+	double cancelled_wall = fl_wall_time();
+	enum fl_kv_result result;
+	char ref[FL_REF_MAX];
+	uint64_t revision = 0;
+
+	fl_copy_string(ref, sizeof(ref), job->ref);
+	result = store_cancellation(node, job, cancelled_wall, &revision);
+	apply_write_result(node, ref, result, cancelled_wall, revision);
+	return result;
+}
+
 void fl_leader_cancel_job(struct fl_node *node, const char *ref, struct fl_http_response *response)
 {
 	const struct fl_finished_job *finished = fl_finished_job_find(&node->cluster, ref);
-	double cancelled_wall = fl_wall_time();
 	enum fl_kv_result result;
 	struct fl_job *job;
-	uint64_t revision = 0;
 
 	if (finished) {
 		fl_respond_cancellation(response, ref, finished->status);
@@ -104,8 +116,7 @@
 	job = find_cancellable_job(node, ref, response);
 	if (!job)
 		return;
-	result = store_cancellation(node, job, cancelled_wall, &revision);
-	apply_write_result(node, ref, result, cancelled_wall, revision);
+	result = fl_cancellation_write(node, job);
 	finished = fl_finished_job_find(&node->cluster, ref);
 	if (finished)
 		fl_respond_cancellation(response, ref, finished->status);
--- a/src/coordination/api/cancellation.h
+++ b/src/coordination/api/cancellation.h
@@ -6,8 +6,10 @@
 #ifndef FL_COORDINATION_API_CANCELLATION_H
 #define FL_COORDINATION_API_CANCELLATION_H
 
+#include "protocol/kv_store.h"
 #include "transport/http_server.h"
 
+struct fl_job;
 struct fl_node;
 
 /*
@@ -16,5 +18,10 @@
  * the outcome of its write is unknown. Waits. The caller has just checked fl_is_leader.
  */
 void fl_leader_cancel_job(struct fl_node *node, const char *ref, struct fl_http_response *response);
+/*
+ * Writes the cancelled record of a live job, applies what the result shows, and returns the result.
+ * Waits; the job may be dropped meanwhile. The caller has just checked fl_is_leader.
+ */
+enum fl_kv_result fl_cancellation_write(struct fl_node *node, const struct fl_job *job);
 
 #endif
--- a/src/coordination/leadership/leadership.c
+++ b/src/coordination/leadership/leadership.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "coordination/api/cancellation_retry.h"
 #include "coordination/autoscaling/autoscaler.h"
 #include "coordination/leadership/failover.h"
 #include "coordination/node.h"
@@ -62,6 +63,7 @@
 	start_leader_coroutine(node, fl_record_writer_run);
 	start_leader_coroutine(node, fl_digest_reader_run);
 	start_leader_coroutine(node, fl_cancellation_enforcement_run);
+	start_leader_coroutine(node, fl_cancellation_retry_run);
 	start_leader_coroutine(node, fl_autoscaler_run);
 	start_leader_coroutine(node, fl_finished_jobs_loader_run);
 }
--- a/src/coordination/persistence/job_record_txn.c
+++ b/src/coordination/persistence/job_record_txn.c
@@ -4,6 +4,7 @@
 #include "coordination/persistence/record_txn.h"
 #include "coordination/workers/command.h"
 #include "storage/keys.h"
+#include "transport/clock.h"
 #include "transport/log.h"
 #include "transport/text.h"
 
@@ -52,8 +53,10 @@
 	bool is_counted = job != NULL;
 	enum fl_kv_result result;
 
-	if (is_counted)
+	if (is_counted) {
 		job->record.unresolved_writes++;
+		job->record.last_write_sent_at = fl_now();
+	}
 	result = fl_record_txn_commit(node, &txn->txn, revision);
 	job = is_counted ? find_unchanged_job(node, txn) : NULL;
 	if (!job)
--- a/src/storage/cluster.h
+++ b/src/storage/cluster.h
@@ -88,6 +88,7 @@
 	 * be executed: in flight, or without an answer. If > 0, only the record shows the state.
 	 */
 	uint32_t unresolved_writes;
+	double last_write_sent_at; /* when the newest of them was sent; valid if there are any */
 };
 
 /* A live job: one that is not finished yet. */
--- a/tests/test_unanswered_writes.c
+++ b/tests/test_unanswered_writes.c
@@ -15,6 +15,7 @@
 #include <string.h>
 
 #include "coordination/api/cancellation.h"
+#include "coordination/api/cancellation_retry.h"
 #include "coordination/api/status_from_leader.h"
 #include "coordination/node.h"
 #include "coordination/persistence/final_record_writer.h"
@@ -337,6 +338,46 @@
 	assert_true(memory_shows_status());
 }
 
+static void run_retries(void *argument)
+{
+	(void)argument;
+	fl_cancellation_retry_run(&scenario.node);
+}
+
+/*
+ * Guards against a job that never starts a task again and whose status is read from its record for
+ * each query: its user gave up after a cancellation without an answer.
+ */
+static void the_leader_repeats_a_cancellation_without_an_answer(void **state)
+{
+	const struct scripted_write writes[] = {
+		{.fate = WRITE_DELAYED}, {.fate = WRITE_REFUSED}, {.fate = WRITE_ANSWERED}};
+
+	(void)state;
+	script_writes(writes, 3);
+	expect_cancellation(503, NULL);
+	assert_non_null(sim_spawn(0, run_retries, NULL));
+	run_for(5);
+	assert_int_equal(scenario.write_count, 3);
+	assert_true(memory_shows_status());
+	expect_status("aborted");
+	assert_int_equal(execute_delayed_write(), 409);
+}
+
+/* A cancellation that is refused is not executed, and its user was told so. */
+static void the_leader_does_not_repeat_a_refused_cancellation(void **state)
+{
+	const struct scripted_write writes[] = {{.fate = WRITE_REFUSED}};
+
+	(void)state;
+	script_writes(writes, 1);
+	assert_non_null(sim_spawn(0, run_retries, NULL));
+	expect_cancellation(503, NULL);
+	run_for(5);
+	assert_int_equal(scenario.write_count, 1);
+	expect_status("pending");
+}
+
 /* ---- final records ---- */
 
 static void write_final_record(void *argument)
@@ -402,6 +443,8 @@
 		WRITE_TEST(a_second_cancellation_settles_a_delayed_one),
 		WRITE_TEST(a_second_cancellation_finds_a_delayed_one_executed),
 		WRITE_TEST(a_refused_cancellation_alone_leaves_the_status_known),
+		WRITE_TEST(the_leader_repeats_a_cancellation_without_an_answer),
+		WRITE_TEST(the_leader_does_not_repeat_a_refused_cancellation),
 		WRITE_TEST(a_refused_final_write_does_not_settle_an_earlier_one),
 		WRITE_TEST(a_repeated_final_write_settles_a_delayed_one),
 	};
