Simulation: cancellations without an answer while nodes learn of changes at different times

FAULT_KV_SLOW can now delay the replies to watches, for each node by itself, and delayed_cancellation combines that with delayed writes, users who query all nodes, refusals, outages and the end of the leader.

--- a/tests/fault_combinations_kv_store.c
+++ b/tests/fault_combinations_kv_store.c
@@ -83,6 +83,34 @@
 		           .target = TARGET_LEADER);
 }
 
+/*
+ * Cancellations get no reply and are applied late, while the nodes learn of changes at different
+ * times and users query all of them. In some variants the store refuses writes or the leader, or
+ * another node leads.
+ */
+static void delayed_cancellation(int variant)
+{
+	double start_s = sim_random_between(30, 50);
+
+	SIM_INJECT(FAULT_DELAYED_WRITES, .start_s = start_s, .duration_s = 40, .magnitude = 0.4);
+	SIM_INJECT(FAULT_KV_SLOW, .start_s = start_s, .duration_s = 55, .magnitude = 0.5,
+	           .delays_watches = true);
+	SIM_INJECT(FAULT_CONCURRENT_READS, .start_s = start_s, .duration_s = 60);
+	SIM_INJECT(FAULT_STATUS_QUERY_STORM, .start_s = start_s, .duration_s = 60, .magnitude = 20);
+	SIM_INJECT(FAULT_CANCEL_AT_COMPLETION, .start_s = start_s, .duration_s = 50,
+	           .magnitude = 0.5);
+	for (int i = 0; i < 4; i++)
+		inject_cancel_running(start_s + sim_random_between(0, 40), 3, 0);
+	if (variant % 4 == 1)
+		inject_leader_down(start_s + sim_random_between(5, 35), 8);
+	if (variant % 4 == 2)
+		SIM_INJECT(FAULT_KV_REFUSES_NODE, .start_s = start_s + sim_random_between(5, 35),
+		           .duration_s = sim_random_between(1, 10), .target = TARGET_LEADER);
+	if (variant % 4 == 3)
+		SIM_INJECT(FAULT_KV_UNAVAILABLE, .start_s = start_s + sim_random_between(5, 35),
+		           .duration_s = sim_random_between(1, 20));
+}
+
 /* Jobs are cancelled as the store begins to refuse the leader; an outage follows 1 s later. */
 static void cancel_at_kv_refusal(int variant)
 {
@@ -170,6 +198,12 @@
          .first_variant = 0,
          .variant_count = 3,
          .protects = "record_writer.c: unknown outcomes, conditions on the leader's key"},
+	{.name = "delayed_cancellation",
+         .seed_name = "delayed_cancellation",
+         .inject_faults = delayed_cancellation,
+         .first_variant = 70,
+         .variant_count = 4,
+         .protects = "job_record_txn.c: unresolved writes; status_from_leader.c"},
 	{.name = "cancel_at_kv_refusal",
          .seed_name = "refused_and_out",
          .inject_faults = cancel_at_kv_refusal,
--- a/tests/sim_faults.h
+++ b/tests/sim_faults.h
@@ -62,6 +62,8 @@
 	double hang_s; /* FAULT_CANCEL_RUNNING: duration for which the jobs' machines hang */
 	/* FAULT_DELAYED_WRITES: the write is not delayed, and only its reply is lost. */
 	bool reply_lost_only;
+	/* FAULT_KV_SLOW: replies to watches are delayed, too, for each node by itself. */
+	bool delays_watches;
 	/* FAULT_DELAYED_HEARTBEATS: copies wait for the next leader, then go to every node. */
 	bool held_for_next_leader;
 	bool active;
--- a/tests/sim_kv_store.c
+++ b/tests/sim_kv_store.c
@@ -47,6 +47,15 @@
 	}
 }
 
+/* Delays a reply to a watch while FAULT_KV_SLOW includes these; returns false if cancelled. */
+static bool delay_watch_reply(void)
+{
+	const struct sim_fault *slow = sim_fault_active(FAULT_KV_SLOW, -1);
+
+	return !slow || !slow->delays_watches ||
+	       fl_sleep(sim_random_between(0, slow->magnitude)) == 0;
+}
+
 static void serve_watch(struct sim_endpoint from, const char *query,
                         struct fl_http_response *response)
 {
@@ -56,7 +65,7 @@
 	double timeout_s = atof(kv_model_query_param(query, "HoldMs=", word, sizeof(word))) / 1000;
 
 	kv_model_query_param(query, "Prefix=", prefix, sizeof(prefix));
-	if (!wait_for_event(from, prefix, revision, fl_now() + timeout_s))
+	if (!wait_for_event(from, prefix, revision, fl_now() + timeout_s) || !delay_watch_reply())
 		return;
 	kv_model_serve_events(&store.model, prefix,
 	                      kv_model_first_event_index(&store.model, prefix, revision), response);
