Key-value store: the refusal of a repeated copy does not settle a write

Cause: when a kept connection is reset without a byte of response, the HTTP client sends the request once more over another connection. If that copy got 503, 429 or 400, the write was taken for refused and not executed (FL_KV_UNAVAILABLE), although the store may have executed the first copy, or may still do so. For a cancellation or a final record, the leader then answered from memory again.

Change: the client reports that it sent a request repeatedly, and the store's client then returns FL_KV_OUTCOME_UNKNOWN in place of a refusal.

Test: a_write_that_was_sent_twice_is_not_known_to_be_refused in test_contract_kv, which failed before the change (result 4, unavailable, in place of 7).

--- a/src/protocol/kv_store.c
+++ b/src/protocol/kv_store.c
@@ -77,6 +77,17 @@
 	return "unknown result";
 }
 
+/* Returns what the store's response implies for a request, including earlier copies of it. */
+static enum fl_kv_result result_of_reply(const struct fl_http_reply *reply)
+{
+	enum fl_kv_result result = result_of_http_status(reply->status);
+
+	/* Only the last copy was refused; an earlier one may be executed. */
+	if (reply->sent_repeatedly && (result == FL_KV_UNAVAILABLE || result == FL_KV_INVALID))
+		return FL_KV_OUTCOME_UNKNOWN;
+	return result;
+}
+
 /* A request to the store. */
 struct request {
 	const char *method, *path;
@@ -108,7 +119,7 @@
 		store->last_failure_at = fl_now();
 	else if (reply.status != 429 && sent_at > store->last_success_sent_at)
 		store->last_success_sent_at = sent_at;
-	result = result_of_http_status(reply.status);
+	result = result_of_reply(&reply);
 	*response = fl_json_parse(reply.body.data, reply.body.length);
 	fl_buffer_free(&reply.body);
 	if (result == FL_KV_OK && !cJSON_IsObject(*response))
--- a/src/protocol/kv_store.h
+++ b/src/protocol/kv_store.h
@@ -17,15 +17,16 @@
 /* The result of a request, with what it implies and how the caller should react. */
 enum fl_kv_result {
 	FL_KV_OK = 0,
-	FL_KV_NOT_FOUND,      /* no such key or lease */
-	FL_KV_COMPARE_FAILED, /* a condition does not hold; nothing was written */
-	FL_KV_COMPACTED,      /* the revision to watch from is too old; list the keys again */
-	FL_KV_UNAVAILABLE,    /* rejected (429, 503) and not executed; retry later */
-	FL_KV_INVALID,        /* rejected as malformed, or because the lease has expired */
-	FL_KV_CANCELLED,      /* the calling coroutine is cancelled; clean up and return */
+	FL_KV_NOT_FOUND, /* no such key or lease */
+	/* A condition does not hold; written at most by an earlier copy of the request. */
+	FL_KV_COMPARE_FAILED,
+	FL_KV_COMPACTED,   /* the revision to watch from is too old; list the keys again */
+	FL_KV_UNAVAILABLE, /* rejected (429, 503) and not executed; retry later */
+	FL_KV_INVALID,     /* rejected as malformed, or because the lease has expired */
+	FL_KV_CANCELLED,   /* the calling coroutine is cancelled; clean up and return */
 	/*
-	 * No response, or one that is malformed or has another status; the request may be executed
-	 * already, or later.
+	 * No response, or one that is malformed or has another status, or a rejection of a request
+	 * that was sent more than once; the request may be executed already, or later.
 	 */
 	FL_KV_OUTCOME_UNKNOWN
 };
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -96,9 +96,12 @@
 	return fl_http_message_read(response, fd, deadline - fl_now());
 }
 
-/* Sends a request, over an idle connection if there is one, and reads its response. */
+/*
+ * Sends a request, over an idle connection if there is one, and reads its response. Sets
+ * `*sent_repeatedly` if it had to be sent over another connection, too.
+ */
 static int send_request(struct fl_http_client *client, const struct fl_buffer *request,
-                        double deadline, struct fl_http_message *response)
+                        double deadline, struct fl_http_message *response, bool *sent_repeatedly)
 {
 	for (;;) {
 		bool reused = client->idle_count > 0;
@@ -114,6 +117,7 @@
 			return rc;
 		}
 		/* The server probably closed the idle connection before reading: try another. */
+		*sent_repeatedly = true;
 		fl_socket_close(fd);
 		/* A parser that has seen the end of a connection cannot parse another response. */
 		fl_http_message_free(response);
@@ -133,7 +137,7 @@
 	fl_http_message_init(&response, HTTP_RESPONSE, tunables.max_body_bytes);
 	rc = encode_request(method, path, body, &request);
 	if (!rc)
-		rc = send_request(client, &request, deadline, &response);
+		rc = send_request(client, &request, deadline, &response, &out->sent_repeatedly);
 	if (rc)
 		goto out;
 	out->status = response.parser.status_code;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -5,6 +5,8 @@
 #ifndef FL_TRANSPORT_HTTP_CLIENT_H
 #define FL_TRANSPORT_HTTP_CLIENT_H
 
+#include <stdbool.h>
+
 #include "transport/http.h"
 
 /* Maximum number of idle connections that a client keeps. */
@@ -22,6 +24,11 @@
 struct fl_http_reply {
 	int status;
 	struct fl_buffer body;
+	/*
+	 * The request was sent more than once, since an idle connection was reset without a
+	 * response. The server may have executed an earlier copy, or may still do so.
+	 */
+	bool sent_repeatedly;
 };
 
 /*
--- a/tests/test_contract_kv.c
+++ b/tests/test_contract_kv.c
@@ -12,6 +12,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "contract_fixture.h"
 #include "contract_text.h"
@@ -204,6 +205,46 @@
 	assert_int_equal(got.rc[2], FL_KV_INVALID);
 }
 
+/* Sends a transaction over an idle connection that has failed; *result is an fl_kv_result. */
+static void send_transaction_over_failed_connection(const char *address, void *result)
+{
+	struct fl_kv_store kv_store;
+	struct fl_kv_txn txn;
+	uint64_t revision;
+	cJSON *value;
+
+	fl_kv_init(&kv_store, address);
+	assert_int_equal(fl_kv_get(&kv_store, "a/b", &value, &revision, NULL), FL_KV_NOT_FOUND);
+	assert_int_equal(kv_store.client.idle_count, 1);
+	shutdown(kv_store.client.idle_fds[0], SHUT_RDWR);
+	fl_kv_txn_init(&txn);
+	*(enum fl_kv_result *)result = fl_kv_txn_commit(&kv_store, &txn, &revision, NULL);
+	fl_http_client_close(&kv_store.client);
+	fl_http_client_close(&kv_store.watch_client);
+}
+
+/*
+ * Guards against a write that is taken for refused and is executed nevertheless: the connection was
+ * reset without a response, the client sent the write once more, and only this copy was refused.
+ */
+static void a_write_that_was_sent_twice_is_not_known_to_be_refused(void **state)
+{
+	static const int refusals[] = {503, 429, 400};
+
+	(void)state;
+	for (int i = 0; i < COUNT_OF(refusals); i++) {
+		const struct contract_exchange script[] = {
+			{"GET /keys/a/b\n", 404, "{}"},
+			{"POST /multi\n{\"When\":[],\"Apply\":[]}", refusals[i], "{}"},
+		};
+		enum fl_kv_result result = FL_KV_OK;
+
+		contract_run_exchanges(send_transaction_over_failed_connection, &result, script,
+		                       COUNT_OF(script));
+		assert_int_equal(result, FL_KV_OUTCOME_UNKNOWN);
+	}
+}
+
 struct lease_results {
 	int rc[8];
 	uint64_t lease_id;
@@ -259,6 +300,7 @@
 		cmocka_unit_test(keys_are_listed_page_by_page),
 		cmocka_unit_test(a_watch_returns_writes_and_deletions),
 		cmocka_unit_test(a_transaction_has_conditions_writes_deletions_and_leases),
+		cmocka_unit_test(a_write_that_was_sent_twice_is_not_known_to_be_refused),
 		cmocka_unit_test(a_lease_is_granted_renewed_and_revoked),
 	};
 
