--- a/tests/scripted_store.h
+++ b/tests/scripted_store.h
@@ -36,6 +36,11 @@
 void scripted_store_end(void);
 /* Sets what the store does with the next `count` writes, beginning with the first one. */
 void scripted_store_script(const struct scripted_write *writes, int count);
+/* The same with the writes as arguments: SCRIPT_WRITES({.fate = WRITE_DELAYED}, ...). */
+#define SCRIPT_WRITES(...)                                                                         \
+	scripted_store_script((const struct scripted_write[]){__VA_ARGS__},                        \
+	                      (int)(sizeof((const struct scripted_write[]){__VA_ARGS__}) /         \
+	                            sizeof(struct scripted_write)))
 /* Stores a value, which it deletes, under the key; returns its revision. */
 uint64_t scripted_store_put(const char *key, cJSON *value);
 /* Executes the delayed write; returns the status that it would be answered with. */
--- a/tests/test_fencing_token.c
+++ b/tests/test_fencing_token.c
@@ -66,11 +66,10 @@
  */
 static void a_leader_adopts_a_raised_token_as_soon_as_it_is_stored(void **state)
 {
-	const struct scripted_write writes[] = {{.fate = WRITE_ANSWERED}, {.fate = WRITE_DELAYED}};
 	const struct fl_leader_lease *lease = &scenario.node.leader_lease;
 
 	(void)state;
-	scripted_store_script(writes, 2);
+	SCRIPT_WRITES({.fate = WRITE_ANSWERED}, {.fate = WRITE_DELAYED});
 	run_for(6);
 	assert_true(lease->held);
 	assert_int_equal(lease->fencing_token, 1);
--- a/tests/test_unanswered_writes.c
+++ b/tests/test_unanswered_writes.c
@@ -152,10 +152,8 @@
  */
 static void a_status_is_read_until_a_delayed_cancellation_is_executed(void **state)
 {
-	const struct scripted_write writes[] = {{.fate = WRITE_DELAYED}};
-
 	(void)state;
-	scripted_store_script(writes, 1);
+	SCRIPT_WRITES({.fate = WRITE_DELAYED});
 	expect_cancellation(503, NULL);
 	assert_false(memory_shows_status());
 	expect_status("pending");
@@ -168,11 +166,8 @@
 /* The same if the second cancellation is refused: the first may be executed nevertheless. */
 static void a_refused_cancellation_does_not_settle_an_earlier_one(void **state)
 {
-	const struct scripted_write writes[] = {
-		{.fate = WRITE_DELAYED}, {.fate = WRITE_REFUSED}, {.fate = WRITE_THROTTLED}};
-
 	(void)state;
-	scripted_store_script(writes, 3);
+	SCRIPT_WRITES({.fate = WRITE_DELAYED}, {.fate = WRITE_REFUSED}, {.fate = WRITE_THROTTLED});
 	expect_cancellation(503, NULL);
 	expect_cancellation(503, NULL);
 	expect_cancellation(503, NULL);
@@ -186,13 +181,11 @@
 /* The same if the refused one is the first, and its answer comes while the other is in flight. */
 static void a_refused_cancellation_does_not_settle_a_later_one(void **state)
 {
-	const struct scripted_write writes[] = {{.fate = WRITE_REFUSED, .answer_after_s = 0.5},
-	                                        {.fate = WRITE_DELAYED}};
 	struct user_request first = {.handle = fl_leader_cancel_job};
 	struct user_request second = {.handle = fl_leader_cancel_job, .send_delay_s = 0.1};
 
 	(void)state;
-	scripted_store_script(writes, 2);
+	SCRIPT_WRITES({.fate = WRITE_REFUSED, .answer_after_s = 0.5}, {.fate = WRITE_DELAYED});
 	spawn_user_request(&first);
 	spawn_user_request(&second);
 	run_for(0.8);
@@ -210,10 +203,8 @@
 /* The cancellation that is answered changes the record, so that the delayed one has no effect. */
 static void a_second_cancellation_settles_a_delayed_one(void **state)
 {
-	const struct scripted_write writes[] = {{.fate = WRITE_DELAYED}, {.fate = WRITE_ANSWERED}};
-
 	(void)state;
-	scripted_store_script(writes, 2);
+	SCRIPT_WRITES({.fate = WRITE_DELAYED}, {.fate = WRITE_ANSWERED});
 	expect_cancellation(503, NULL);
 	expect_cancellation(200, "aborted");
 	assert_int_equal(scripted_store_execute_delayed_write(), 409);
@@ -223,10 +214,8 @@
 
 static void a_second_cancellation_finds_a_delayed_one_executed(void **state)
 {
-	const struct scripted_write writes[] = {{.fate = WRITE_DELAYED}, {.fate = WRITE_ANSWERED}};
-
 	(void)state;
-	scripted_store_script(writes, 2);
+	SCRIPT_WRITES({.fate = WRITE_DELAYED}, {.fate = WRITE_ANSWERED});
 	expect_cancellation(503, NULL);
 	assert_int_equal(scripted_store_execute_delayed_write(), 200);
 	expect_cancellation(200, "aborted");
@@ -236,10 +225,8 @@
 /* A refused write is never executed, so memory is as good as before. */
 static void a_refused_cancellation_alone_leaves_the_status_known(void **state)
 {
-	const struct scripted_write writes[] = {{.fate = WRITE_REFUSED}};
-
 	(void)state;
-	scripted_store_script(writes, 1);
+	SCRIPT_WRITES({.fate = WRITE_REFUSED});
 	expect_cancellation(503, NULL);
 	assert_true(memory_shows_status());
 }
@@ -256,11 +243,8 @@
  */
 static void the_leader_repeats_a_cancellation_without_an_answer(void **state)
 {
-	const struct scripted_write writes[] = {
-		{.fate = WRITE_DELAYED}, {.fate = WRITE_REFUSED}, {.fate = WRITE_ANSWERED}};
-
 	(void)state;
-	scripted_store_script(writes, 3);
+	SCRIPT_WRITES({.fate = WRITE_DELAYED}, {.fate = WRITE_REFUSED}, {.fate = WRITE_ANSWERED});
 	expect_cancellation(503, NULL);
 	assert_non_null(sim_spawn(0, run_retries, NULL));
 	run_for(5);
@@ -273,10 +257,8 @@
 /* A cancellation that is refused is not executed, and its user was told so. */
 static void the_leader_does_not_repeat_a_refused_cancellation(void **state)
 {
-	const struct scripted_write writes[] = {{.fate = WRITE_REFUSED}};
-
 	(void)state;
-	scripted_store_script(writes, 1);
+	SCRIPT_WRITES({.fate = WRITE_REFUSED});
 	assert_non_null(sim_spawn(0, run_retries, NULL));
 	expect_cancellation(503, NULL);
 	run_for(5);
@@ -300,6 +282,16 @@
 		fl_task_mark_done(&scenario.node.cluster, job, i);
 }
 
+/* Ends all tasks; then the record writer tries to write the final record, and tries once more. */
+static void try_final_write_twice(void)
+{
+	finish_all_tasks();
+	for (int i = 0; i < 2; i++) {
+		assert_non_null(sim_spawn(0, write_final_record, NULL));
+		run_for(3);
+	}
+}
+
 /*
  * Guards against a job that is reported as done and then as pending: the final write got no answer,
  * its repetition was refused, and the leader answered from memory although the first write could
@@ -307,15 +299,9 @@
  */
 static void a_refused_final_write_does_not_settle_an_earlier_one(void **state)
 {
-	const struct scripted_write writes[] = {{.fate = WRITE_DELAYED}, {.fate = WRITE_REFUSED}};
-
 	(void)state;
-	scripted_store_script(writes, 2);
-	finish_all_tasks();
-	for (int i = 0; i < 2; i++) {
-		assert_non_null(sim_spawn(0, write_final_record, NULL));
-		run_for(3);
-	}
+	SCRIPT_WRITES({.fate = WRITE_DELAYED}, {.fate = WRITE_REFUSED});
+	try_final_write_twice();
 	assert_int_equal(scripted_store.write_count, 2);
 	assert_false(memory_shows_status());
 
@@ -325,15 +311,9 @@
 
 static void a_repeated_final_write_settles_a_delayed_one(void **state)
 {
-	const struct scripted_write writes[] = {{.fate = WRITE_DELAYED}, {.fate = WRITE_ANSWERED}};
-
 	(void)state;
-	scripted_store_script(writes, 2);
-	finish_all_tasks();
-	for (int i = 0; i < 2; i++) {
-		assert_non_null(sim_spawn(0, write_final_record, NULL));
-		run_for(3);
-	}
+	SCRIPT_WRITES({.fate = WRITE_DELAYED}, {.fate = WRITE_ANSWERED});
+	try_final_write_twice();
 	assert_int_equal(scripted_store_execute_delayed_write(), 409);
 	assert_true(memory_shows_status());
 	expect_status("done");
