--- a/src/coordination/election/election.c
+++ b/src/coordination/election/election.c
@@ -3,6 +3,8 @@
 #include <errno.h>
 #include <string.h>
 
+#include "coordination/election/election_watch.h"
+#include "coordination/election/fencing_token.h"
 #include "coordination/node.h"
 #include "storage/keys.h"
 #include "transport/clock.h"
@@ -12,7 +14,7 @@
 
 static const struct {
 	double lease_ttl_s, renew_interval_s, clock_drift_share, expiry_margin_s;
-	double read_interval_s, retry_s, campaign_stagger_s, watch_timeout_s;
+	double read_interval_s, retry_s, campaign_stagger_s;
 	double token_raise_interval_s;
 } tunables = {
 	.lease_ttl_s = 3.0,      /* maximum time for which a failed leader blocks its replacement */
@@ -22,7 +24,6 @@
 	.read_interval_s = 1.0,        /* between a follower's reads, which confirm the leader */
 	.retry_s = 0.3,                /* delay after a failed request */
 	.campaign_stagger_s = 0.05,    /* per rank, so that the nodes do not campaign at once */
-	.watch_timeout_s = 10.0,       /* duration of one watch request */
 	.token_raise_interval_s = 4.0, /* minimum between two raises of the fencing token */
 };
 
@@ -82,62 +83,6 @@
 	        (unsigned long long)lease->fencing_token);
 }
 
-/* Sets the token that the leader commands with to the one that is stored at this revision. */
-static void set_fencing_token(struct fl_node *node, uint64_t fencing_token, uint64_t revision)
-{
-	struct fl_leader_lease *lease = &node->leader_lease;
-
-	if (fencing_token > lease->fencing_token)
-		lease->token_raise_wanted = false;
-	lease->fencing_token = fencing_token;
-	lease->token_mod_revision = revision;
-	if (fencing_token > node->leader_view.fencing_token)
-		node->leader_view.fencing_token = fencing_token;
-}
-
-/*
- * Adopts the stored token: a raise without an answer may have been executed, or may be executed
- * later. Until then, this leader neither reaches the workers that have seen a higher token nor
- * applies their heartbeats.
- */
-static void adopt_stored_fencing_token(struct fl_node *node)
-{
-	struct fl_leader_lease *lease = &node->leader_lease;
-	uint64_t lease_id = lease->lease_id;
-	struct fl_election_state state;
-
-	if (fl_leader_view_read(&node->leader_view, &node->kv_store, &state) != FL_KV_OK ||
-	    !lease->held || lease->lease_id != lease_id)
-		return;
-	if (state.leader_mod_revision != lease->leader_mod_revision)
-		fl_leader_lease_step_down(node, "leader key changed");
-	else if (state.fencing_token >= lease->fencing_token)
-		set_fencing_token(node, state.fencing_token, state.token_mod_revision);
-}
-
-/* Raises the leader's fencing token, so that workers reject commands with the old one. */
-static void raise_fencing_token(struct fl_node *node)
-{
-	struct fl_leader_lease *lease = &node->leader_lease;
-	uint64_t revision, lease_id = lease->lease_id;
-	enum fl_kv_result result;
-	struct fl_kv_txn txn;
-
-	lease->token_raised_at = fl_now();
-	fl_kv_txn_init(&txn);
-	fl_kv_txn_expect_revision(&txn, FL_KEY_LEADER, lease->leader_mod_revision);
-	fl_kv_txn_expect_revision(&txn, FL_KEY_FENCING_TOKEN, lease->token_mod_revision);
-	fl_kv_txn_put(&txn, FL_KEY_FENCING_TOKEN,
-	              fl_fencing_token_record_encode(lease->fencing_token + 1), 0);
-	result = fl_kv_txn_commit(&node->kv_store, &txn, &revision, NULL);
-	if (!lease->held || lease->lease_id != lease_id)
-		return;
-	if (result == FL_KV_OK)
-		set_fencing_token(node, lease->fencing_token + 1, revision);
-	else
-		adopt_stored_fencing_token(node);
-}
-
 /* Handles the success of a renewal that was sent at `sent_at` (monotonic clock, s). */
 static void on_lease_renewed(struct fl_node *node, double sent_at)
 {
@@ -149,10 +94,10 @@
 	lease->valid_until = lease_valid_until(sent_at);
 	fl_leader_view_confirm(&node->leader_view, sent_at);
 	if (node->leader_view.fencing_token > lease->fencing_token)
-		adopt_stored_fencing_token(node);
+		fl_fencing_token_adopt_stored(node);
 	if (lease->held && lease->token_raise_wanted &&
 	    fl_now() > lease->token_raised_at + tunables.token_raise_interval_s)
-		raise_fencing_token(node);
+		fl_fencing_token_raise(node);
 }
 
 /* Renews the lease; returns the seconds until the next renewal. */
@@ -265,88 +210,10 @@
 	}
 }
 
-static void on_leader_key_change(struct fl_node *node, const cJSON *value)
-{
-	struct fl_leader_view *view = &node->leader_view;
-	struct fl_leader_record leader;
-
-	if (!value)
-		view->leader[0] = 0;
-	else if (fl_leader_record_decode(value, &leader))
-		fl_copy_string(view->leader, sizeof(view->leader), leader.node);
-	if (!node->leader_lease.held)
-		fl_condition_broadcast(&view->changed);
-}
-
-static void on_fencing_token_change(struct fl_node *node, const cJSON *value)
-{
-	struct fl_leader_view *view = &node->leader_view;
-	uint64_t fencing_token;
-
-	if (!value || !fl_fencing_token_record_decode(value, &fencing_token) ||
-	    fencing_token <= view->fencing_token)
-		return;
-	view->fencing_token = fencing_token;
-	/* A raise of this leader was executed late: see adopt_stored_fencing_token. */
-	if (node->leader_lease.held && fencing_token > node->leader_lease.fencing_token)
-		fl_condition_broadcast(&view->changed);
-}
-
-static void on_election_event(void *context, const struct fl_kv_event *event)
-{
-	struct fl_node *node = context;
-
-	if (strcmp(event->key, FL_KEY_LEADER) == 0)
-		on_leader_key_change(node, event->value);
-	else if (strcmp(event->key, FL_KEY_FENCING_TOKEN) == 0)
-		on_fencing_token_change(node, event->value);
-}
-
-/* Lists the election keys. A watch can continue from `*revision`, the revision of the list. */
-static enum fl_kv_result list_election_keys(struct fl_node *node, uint64_t *revision)
-{
-	double sent_at = fl_now();
-	enum fl_kv_result result =
-		fl_kv_list(&node->kv_store, FL_PREFIX_ELECTION, on_election_event, node, revision);
-
-	/* The list confirms the view, so a node that has just started can renew worker leases. */
-	if (result == FL_KV_OK)
-		fl_leader_view_confirm(&node->leader_view, sent_at);
-	return result;
-}
-
-/*
- * Watches the election keys, so that the loss of a leader is noticed within milliseconds; periodic
- * reads would take up to a second.
- */
-static void watch_coroutine(void *arg)
-{
-	struct fl_node *node = arg;
-	const struct fl_kv_watch_request watch = {
-		.prefix = FL_PREFIX_ELECTION,
-		.timeout_s = tunables.watch_timeout_s,
-		.on_event = on_election_event,
-		.context = node,
-	};
-	uint64_t revision = 0; /* 0: the keys must be listed first */
-
-	fl_coroutine_set_urgent();
-	while (!fl_coroutine_cancelled()) {
-		enum fl_kv_result result =
-			revision == 0 ? list_election_keys(node, &revision)
-				      : fl_kv_watch(&node->kv_store, &watch, &revision);
-
-		if (result == FL_KV_COMPACTED)
-			revision = 0;
-		if (result != FL_KV_OK && fl_sleep(tunables.retry_s) != 0)
-			break;
-	}
-}
-
 void fl_election_start(struct fl_node *node, const struct fl_election_callbacks *callbacks)
 {
 	node->election_callbacks = callbacks;
 	fl_leader_view_init(&node->leader_view);
 	fl_coroutine_spawn(election_coroutine, node);
-	fl_coroutine_spawn(watch_coroutine, node);
+	fl_election_watch_start(node);
 }
