Key-value store: one loop lists and watches the keys with a prefix

The watches of the jobs, the election keys and the digests each had their own copy of this loop. It is now in kv_follow.c.

--- a/src/coordination/election/election_watch.c
+++ b/src/coordination/election/election_watch.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "coordination/node.h"
+#include "protocol/kv_follow.h"
 #include "storage/keys.h"
 #include "transport/clock.h"
 #include "transport/coroutine.h"
@@ -53,8 +54,9 @@
 }
 
 /* Lists the election keys. A watch can continue from `*revision`, the revision of the list. */
-static enum fl_kv_result list_election_keys(struct fl_node *node, uint64_t *revision)
+static enum fl_kv_result list_election_keys(void *context, uint64_t *revision)
 {
+	struct fl_node *node = context;
 	double sent_at = fl_now();
 	enum fl_kv_result result =
 		fl_kv_list(&node->kv_store, FL_PREFIX_ELECTION, on_election_event, node, revision);
@@ -72,25 +74,15 @@
 static void watch_coroutine(void *arg)
 {
 	struct fl_node *node = arg;
-	const struct fl_kv_watch_request watch = {
-		.prefix = FL_PREFIX_ELECTION,
-		.timeout_s = tunables.watch_timeout_s,
-		.on_event = on_election_event,
-		.context = node,
-	};
-	uint64_t revision = 0; /* 0: the keys must be listed first */
+	const struct fl_kv_follow follow = {.watch = {.prefix = FL_PREFIX_ELECTION,
+	                                              .timeout_s = tunables.watch_timeout_s,
+	                                              .on_event = on_election_event,
+	                                              .context = node},
+	                                    .retry_s = tunables.retry_s,
+	                                    .list = list_election_keys};
 
 	fl_coroutine_set_urgent();
-	while (!fl_coroutine_cancelled()) {
-		enum fl_kv_result result =
-			revision == 0 ? list_election_keys(node, &revision)
-				      : fl_kv_watch(&node->kv_store, &watch, &revision);
-
-		if (result == FL_KV_COMPACTED)
-			revision = 0;
-		if (result != FL_KV_OK && fl_sleep(tunables.retry_s) != 0)
-			break;
-	}
+	fl_kv_follow(&node->kv_store, &follow);
 }
 
 void fl_election_watch_start(struct fl_node *node) { fl_coroutine_spawn(watch_coroutine, node); }
--- a/src/coordination/job_watch.c
+++ b/src/coordination/job_watch.c
@@ -5,6 +5,7 @@
 
 #include "coordination/node.h"
 #include "coordination/workers/command.h"
+#include "protocol/kv_follow.h"
 #include "storage/job_updates.h"
 #include "storage/keys.h"
 #include "transport/clock.h"
@@ -42,8 +43,9 @@
 }
 
 /* Lists the live jobs. A watch can continue from `*revision`, the revision of the list. */
-static enum fl_kv_result list_jobs(struct fl_node *node, uint64_t *revision)
+static enum fl_kv_result list_jobs(void *context, uint64_t *revision)
 {
+	struct fl_node *node = context;
 	enum fl_kv_result result;
 
 	/* While a node leads, its failover lists the jobs: see fl_failover_load_cluster. */
@@ -59,8 +61,10 @@
  * Handles the success of a list or watch that was sent at `sent_at` (monotonic clock, s): no change
  * before then was missed.
  */
-static void on_jobs_read(struct fl_node *node, double sent_at)
+static void on_jobs_read(void *context, double sent_at)
 {
+	struct fl_node *node = context;
+
 	node->cancellation_watermark = fmax(node->cancellation_watermark, sent_at);
 	if (node->live_jobs_loaded)
 		return;
@@ -72,30 +76,18 @@
 static void job_watch_coroutine(void *arg)
 {
 	struct fl_node *node = arg;
-	const struct fl_kv_watch_request watch = {
-		.prefix = FL_PREFIX_JOBS,
-		.timeout_s = tunables.watch_timeout_s,
-		.on_event = on_job_event,
-		.context = node,
-	};
-	uint64_t revision = 0; /* 0: the jobs must be listed first */
+	const struct fl_kv_follow follow = {.watch = {.prefix = FL_PREFIX_JOBS,
+	                                              .timeout_s = tunables.watch_timeout_s,
+	                                              .on_event = on_job_event,
+	                                              .context = node},
+	                                    .retry_s = tunables.retry_s,
+	                                    .list = list_jobs,
+	                                    .on_read = on_jobs_read};
 
 	while (!node->machine_types_loaded)
 		if (fl_sleep(tunables.types_check_interval_s) != 0)
 			return;
-	while (!fl_coroutine_cancelled()) {
-		double sent_at = fl_now();
-		enum fl_kv_result result =
-			revision == 0 ? list_jobs(node, &revision)
-				      : fl_kv_watch(&node->kv_store, &watch, &revision);
-
-		if (result == FL_KV_OK)
-			on_jobs_read(node, sent_at);
-		if (result == FL_KV_COMPACTED)
-			revision = 0;
-		if (result != FL_KV_OK && fl_sleep(tunables.retry_s) != 0)
-			return;
-	}
+	fl_kv_follow(&node->kv_store, &follow);
 }
 
 void fl_job_watch_start(struct fl_node *node) { fl_coroutine_spawn(job_watch_coroutine, node); }
--- a/src/coordination/workers/digest_reader.c
+++ b/src/coordination/workers/digest_reader.c
@@ -3,6 +3,7 @@
 #include "coordination/node.h"
 #include "coordination/workers/reconciliation.h"
 #include "protocol/heartbeat_digests.h"
+#include "protocol/kv_follow.h"
 #include "storage/keys.h"
 #include "transport/log.h"
 
@@ -34,32 +35,13 @@
 	}
 }
 
-/* Lists all digests if `*revision` is 0, else watches for digests written after it. */
-static enum fl_kv_result read_digests(struct fl_node *node, uint64_t *revision)
-{
-	const struct fl_kv_watch_request watch = {
-		.prefix = FL_PREFIX_HEARTBEAT_DIGESTS,
-		.timeout_s = tunables.watch_timeout_s,
-		.on_event = on_digest_event,
-		.context = node,
-	};
-
-	if (*revision == 0)
-		return fl_kv_list(&node->kv_store, FL_PREFIX_HEARTBEAT_DIGESTS, on_digest_event,
-		                  node, revision);
-	return fl_kv_watch(&node->kv_store, &watch, revision);
-}
-
 void fl_digest_reader_run(struct fl_node *node)
 {
-	uint64_t revision = 0;
-
-	while (!fl_coroutine_cancelled()) {
-		enum fl_kv_result result = read_digests(node, &revision);
+	const struct fl_kv_follow follow = {.watch = {.prefix = FL_PREFIX_HEARTBEAT_DIGESTS,
+	                                              .timeout_s = tunables.watch_timeout_s,
+	                                              .on_event = on_digest_event,
+	                                              .context = node},
+	                                    .retry_s = tunables.read_retry_delay_s};
 
-		if (result == FL_KV_COMPACTED)
-			revision = 0;
-		if (result != FL_KV_OK && fl_sleep(tunables.read_retry_delay_s) != 0)
-			break;
-	}
+	fl_kv_follow(&node->kv_store, &follow);
 }
