--- a/src/config.c
+++ b/src/config.c
@@ -56,6 +56,14 @@
 	{                                                                                          \
 		(name), offsetof(owner, field), SETTING_NUMBER, false, (min), (max)                \
 	}
+#define OPTIONAL_NUMBER(owner, field, name, min, max)                                              \
+	{                                                                                          \
+		(name), offsetof(owner, field), SETTING_NUMBER, true, (min), (max)                 \
+	}
+#define OPTIONAL_INTEGER(owner, field, name, min, max)                                             \
+	{                                                                                          \
+		(name), offsetof(owner, field), SETTING_INTEGER, true, (min), (max)                \
+	}
 #define INTEGER(owner, field, name, min, max)                                                      \
 	{                                                                                          \
 		(name), offsetof(owner, field), SETTING_INTEGER, false, (min), (max)               \
@@ -107,6 +115,13 @@
 	INTEGER(struct fl_config, txn_ops, "txn_ops", 2, 1e6),
 };
 
+/* The bounds of these settings are those of the present limits. */
+static const struct setting next_state_settings[] = {
+	OPTIONAL_NUMBER(struct fl_config, next_state_write_rps, "write_rps", 1, 1e6),
+	OPTIONAL_NUMBER(struct fl_config, next_value_kb, "value_kb", 1, 1e6),
+	OPTIONAL_INTEGER(struct fl_config, next_txn_ops, "txn_ops", 2, 1e6),
+};
+
 static const struct setting cloud_settings[] = {
 	NUMBER(struct fl_config, cloud_rps, "rps", 0.01, 1e6),
 	NUMBER(struct fl_config, list_lag_s, "list_lag_s", 0, 3600),
@@ -125,6 +140,8 @@
 static const struct table root_table = {NULL, "", root_settings, COUNT(root_settings)};
 static const struct table external_table = {"external", "external.", external_settings,
                                             COUNT(external_settings)};
+static const struct table next_state_table = {"next", "settings.state.next.", next_state_settings,
+                                              COUNT(next_state_settings)};
 static const struct table settings_tables[] = {
 	{"workers", "settings.workers.", worker_settings, COUNT(worker_settings)},
 	{"state", "settings.state.", state_settings, COUNT(state_settings)},
@@ -359,6 +376,19 @@
 		record_error(reader, "settings.", "zones", "must name at least one zone");
 }
 
+/* Reads the limits that the key-value store may change to, as far as they are announced. */
+static void read_next_state_limits(struct reader *reader, const cJSON *settings,
+                                   struct fl_config *config)
+{
+	const cJSON *state = cJSON_GetObjectItemCaseSensitive(settings, "state"), *next;
+
+	if (!cJSON_HasObjectItem(state, next_state_table.key))
+		return;
+	next = require_table(reader, state, "settings.state.", next_state_table.key);
+	if (next)
+		read_table(reader, next, &next_state_table, config);
+}
+
 static void read_settings(struct reader *reader, const cJSON *settings, struct fl_config *config)
 {
 	read_zones(reader, settings, config);
@@ -371,6 +401,7 @@
 		if (json)
 			read_table(reader, json, table, config);
 	}
+	read_next_state_limits(reader, settings, config);
 }
 
 static void read_root(struct reader *reader, const cJSON *root, struct fl_config *config)
--- a/src/config.h
+++ b/src/config.h
@@ -1,7 +1,7 @@
 /*
  * Reads and checks the settings file. All settings are required, except for the lists of peers,
- * teams and SLOs and the class of an SLO; unknown keys are ignored. The settings do not change
- * while the process runs.
+ * teams and SLOs, the class of an SLO and the announced limits of the key-value store; unknown keys
+ * are ignored. The settings do not change while the process runs.
  */
 #ifndef FL_CONFIG_H
 #define FL_CONFIG_H
@@ -58,10 +58,14 @@
 	double state_rps, state_write_rps; /* limits of the key-value store, requests per second */
 	double value_kb;                   /* maximum size of a value, KB */
 	int txn_ops;                       /* maximum number of operations in a transaction */
-	double cloud_rps;                  /* limit of the cloud's API, requests per second */
-	double list_lag_s;                 /* maximum delay of the cloud's list of machines */
-	double core_share;                 /* processor cores for this controller */
-	double ram_mb;                     /* memory for this controller, MB */
+	/* The same limits as announced for later (settings.state.next); 0: no change is announced.
+	 */
+	double next_state_write_rps, next_value_kb;
+	int next_txn_ops;
+	double cloud_rps;  /* limit of the cloud's API, requests per second */
+	double list_lag_s; /* maximum delay of the cloud's list of machines */
+	double core_share; /* processor cores for this controller */
+	double ram_mb;     /* memory for this controller, MB */
 	int max_connections;
 };
 
--- a/src/coordination/api/cancellation.c
+++ b/src/coordination/api/cancellation.c
@@ -83,7 +83,7 @@
 		fl_cluster_update_live_job(&node->cluster, job, &record, revision);
 		fl_command_stop_cancelled_job(node, job);
 		fl_info("jobs", "job cancelled job=%s", ref);
-	} else if (!fl_job_record_txn_was_refused(result)) {
+	} else if (!fl_kv_write_was_refused(result)) {
 		fl_job_record_refresh(node, ref, &refreshed);
 	}
 }
--- a/src/coordination/api/cancellation_retry.c
+++ b/src/coordination/api/cancellation_retry.c
@@ -2,7 +2,7 @@
 
 #include "coordination/api/cancellation.h"
 #include "coordination/node.h"
-#include "storage/token_bucket.h"
+#include "coordination/persistence/record_txn.h"
 #include "transport/clock.h"
 #include "transport/log.h"
 
@@ -41,7 +41,7 @@
 	const struct fl_job *job;
 
 	while (fl_is_leader(node) && (job = find_due_job(node))) {
-		if (fl_token_bucket_take(&node->record_writer.write_budget, 1, fl_now()) > 0)
+		if (fl_token_bucket_take(fl_record_write_budget(node), 1, fl_now()) > 0)
 			return;
 		fl_info("jobs", "cancellation repeated job=%s", job->ref);
 		if (fl_cancellation_write(node, job) != FL_KV_OK)
--- a/src/coordination/autoscaling/autoscaler.c
+++ b/src/coordination/autoscaling/autoscaler.c
@@ -9,8 +9,8 @@
 #include "coordination/autoscaling/scale_in.h"
 #include "coordination/autoscaling/scale_out.h"
 #include "coordination/node.h"
+#include "coordination/persistence/record_txn.h"
 #include "storage/keys.h"
-#include "storage/token_bucket.h"
 #include "transport/clock.h"
 #include "transport/coroutine.h"
 #include "transport/log.h"
@@ -38,7 +38,7 @@
 	struct fl_kv_txn txn;
 	uint64_t revision;
 
-	if (fl_token_bucket_take(&node->record_writer.write_budget, 1, fl_now()) > 0)
+	if (fl_token_bucket_take(fl_record_write_budget(node), 1, fl_now()) > 0)
 		return; /* task starts need the writes; the next refresh stores the types */
 	fl_kv_txn_init(&txn);
 	fl_kv_txn_expect_revision(&txn, FL_KEY_LEADER, node->leader_lease.leader_mod_revision);
--- a/src/coordination/follower/heartbeat_digest.c
+++ b/src/coordination/follower/heartbeat_digest.c
@@ -14,10 +14,8 @@
 #include "transport/text.h"
 
 static const struct {
-	double record_fill_share, kv_write_share, max_cached_age_intervals,
-		max_written_age_intervals;
+	double kv_write_share, max_cached_age_intervals, max_written_age_intervals;
 } tunables = {
-	.record_fill_share = 0.85,      /* of the size limit of a value, for one digest */
 	.kv_write_share = 0.12,         /* of the store's write rate, for one node's digests */
 	.max_cached_age_intervals = 5,  /* digest intervals until a cached heartbeat is dropped */
 	.max_written_age_intervals = 2, /* digest intervals until a heartbeat is too old to write */
@@ -99,7 +97,7 @@
 	result = fl_kv_txn_commit(&node->kv_store, &txn, &revision, NULL);
 	if (result == FL_KV_OK)
 		slot->mod_revision = revision;
-	else if (result != FL_KV_UNAVAILABLE)
+	else if (!fl_kv_write_was_refused(result))
 		slot->revision_known = false;
 	fl_debug("follower", "heartbeat digest write finished index=%d result=\"%s\"", index,
 	         fl_kv_result_text(result));
@@ -112,8 +110,7 @@
  */
 static cJSON *build_digest(struct fl_node *node, double since)
 {
-	size_t limit = (size_t)(node->config->value_kb * 1024 * tunables.record_fill_share),
-	       used = 0;
+	size_t limit = fl_kv_limits_fill_bytes(&node->kv_store.limits), used = 0;
 	struct fl_cached_heartbeat *cached, *tmp;
 	cJSON *digest = NULL;
 
@@ -155,9 +152,14 @@
 	}
 }
 
+static double digest_write_rate(const struct fl_node *node)
+{
+	return node->kv_store.limits.in_force.writes_per_s * tunables.kv_write_share;
+}
+
 void fl_heartbeat_digest_init(struct fl_node *node, double interval_s)
 {
-	double writes_per_s = node->config->state_write_rps * tunables.kv_write_share;
+	double writes_per_s = digest_write_rate(node);
 
 	fl_token_bucket_init(&node->follower.digest_write_budget, writes_per_s,
 	                     writes_per_s * interval_s, fl_now());
@@ -173,5 +175,7 @@
 	if (!node->follower.cached_heartbeats || fl_leader_lease_is_valid(&node->leader_lease) ||
 	    !node->leader_view.leader[0] || fl_kv_is_unavailable(&node->kv_store))
 		return;
+	fl_token_bucket_set_rate(&node->follower.digest_write_budget, digest_write_rate(node),
+	                         digest_write_rate(node) * interval_s, now);
 	write_digests(node, now - tunables.max_written_age_intervals * interval_s);
 }
--- a/src/coordination/leadership/leadership.c
+++ b/src/coordination/leadership/leadership.c
@@ -8,6 +8,7 @@
 #include "coordination/leadership/failover.h"
 #include "coordination/node.h"
 #include "coordination/persistence/finished_jobs_loader.h"
+#include "coordination/persistence/record_txn.h"
 #include "coordination/persistence/record_writer.h"
 #include "coordination/scheduling/scheduling_cycle.h"
 #include "coordination/workers/command.h"
@@ -57,7 +58,7 @@
 	leadership->heartbeats_receivable_since = fl_now();
 	leadership->active = true;
 	leadership->cycle_due = true;
-	fl_record_writer_init_budget(&node->record_writer, node->config->state_write_rps);
+	fl_record_write_budget_init(node);
 	fl_autoscaler_reset(node);
 	start_leader_coroutine(node, fl_scheduling_cycle_run);
 	start_leader_coroutine(node, fl_record_writer_run);
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -76,6 +76,23 @@
 	return FL_NODE_STARTED;
 }
 
+void fl_node_init_store_limits(struct fl_node *node)
+{
+	const struct fl_config *config = node->config;
+	const struct fl_kv_write_limits current = {.value_bytes = (size_t)(config->value_kb * 1024),
+	                                           .txn_operations = config->txn_ops,
+	                                           .writes_per_s = config->state_write_rps};
+	struct fl_kv_write_limits announced = current;
+
+	if (config->next_value_kb > 0)
+		announced.value_bytes = (size_t)(config->next_value_kb * 1024);
+	if (config->next_txn_ops > 0)
+		announced.txn_operations = config->next_txn_ops;
+	if (config->next_state_write_rps > 0)
+		announced.writes_per_s = config->next_state_write_rps;
+	fl_kv_limits_init(&node->kv_store.limits, &current, &announced);
+}
+
 static enum fl_node_start_result init_node(struct fl_node *node, const struct fl_config *config)
 {
 	enum fl_node_start_result result;
@@ -99,6 +116,7 @@
 	    fl_http_client_init(&node->cloud.http, config->cloud,
 	                        tunables.cloud_idle_connections) != 0)
 		return FL_NODE_BAD_ADDRESS;
+	fl_node_init_store_limits(node);
 	return FL_NODE_STARTED;
 }
 
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -89,6 +89,9 @@
 /* Starts a controller and its servers. A started one is never freed and keeps `config`. */
 enum fl_node_start_result fl_node_start(const struct fl_config *config);
 
+/* Sets the limits of the key-value store's client from the settings. */
+void fl_node_init_store_limits(struct fl_node *node);
+
 /* Maximum number of connections from one controller to another; the + 1 is for gossip. */
 enum {
 	FL_PEER_CONNECTIONS_MAX =
--- a/src/coordination/persistence/final_record_writer.c
+++ b/src/coordination/persistence/final_record_writer.c
@@ -22,6 +22,7 @@
                                 enum fl_job_status status, struct fl_job_record_txn *record_txn)
 {
 	struct fl_kv_txn *txn = &record_txn->txn;
+	int operations_max = fl_record_txn_operations_max(node);
 	char key[FL_KEY_MAX];
 	uint32_t block_index = 0;
 
@@ -30,7 +31,7 @@
 	fl_kv_txn_delete(txn, key);
 	fl_key_finished(key, job->ref);
 	fl_kv_txn_put(txn, key, fl_job_record_encode_final(status, job->task_count), 0);
-	for (; block_index < job->block_count && txn->operation_count < node->config->txn_ops;
+	for (; block_index < job->block_count && txn->size.operation_count < operations_max;
 	     block_index++) {
 		if (!has_progress_record(fl_job_task_block(job, block_index)))
 			continue;
--- a/src/coordination/persistence/job_record_txn.c
+++ b/src/coordination/persistence/job_record_txn.c
@@ -41,11 +41,6 @@
 	fl_condition_broadcast(&node->leadership.work_available);
 }
 
-bool fl_job_record_txn_was_refused(enum fl_kv_result result)
-{
-	return result == FL_KV_UNAVAILABLE || result == FL_KV_INVALID;
-}
-
 enum fl_kv_result fl_job_record_txn_commit(struct fl_node *node, struct fl_job_record_txn *txn,
                                            uint64_t *revision)
 {
@@ -61,7 +56,7 @@
 	job = is_counted ? find_unchanged_job(node, txn) : NULL;
 	if (!job)
 		return result;
-	if (fl_job_record_txn_was_refused(result)) {
+	if (fl_kv_write_was_refused(result)) {
 		job->record.unresolved_writes--;
 		if (job->record.unresolved_writes == 0)
 			resume_starts(node, job);
--- a/src/coordination/persistence/job_record_txn.h
+++ b/src/coordination/persistence/job_record_txn.h
@@ -33,7 +33,5 @@
  */
 enum fl_kv_result fl_job_record_txn_commit(struct fl_node *node, struct fl_job_record_txn *txn,
                                            uint64_t *revision);
-/* Returns whether the result means that the transaction will never be executed. */
-bool fl_job_record_txn_was_refused(enum fl_kv_result result);
 
 #endif
--- a/src/coordination/persistence/pending_deletions.c
+++ b/src/coordination/persistence/pending_deletions.c
@@ -43,11 +43,12 @@
 {
 	struct fl_pending_deletion **list = &node->record_writer.pending_deletions;
 	const struct fl_pending_deletion *next = *list;
+	int operations_max = fl_record_txn_operations_max(node);
 	struct fl_kv_txn txn;
 	uint64_t revision;
 
 	fl_record_txn_init(&node->leader_lease, &txn);
-	for (; next && txn.operation_count < node->config->txn_ops; next = next->next)
+	for (; next && txn.size.operation_count < operations_max; next = next->next)
 		fl_kv_txn_delete(&txn, next->key);
 	if (fl_record_txn_admit(node, &txn) == FL_KV_OK &&
 	    fl_record_txn_commit(node, &txn, &revision) == FL_KV_OK)
--- a/src/coordination/persistence/progress_writer.c
+++ b/src/coordination/persistence/progress_writer.c
@@ -5,7 +5,6 @@
 #include "coordination/persistence/wal_writer.h"
 #include "storage/keys.h"
 #include "storage/progress_records.h"
-#include "storage/token_bucket.h"
 #include "transport/clock.h"
 
 static const struct {
@@ -68,12 +67,13 @@
 	return scope == UNSAVED_BLOCKS || block_is_urgent(block);
 }
 
-static bool batch_is_full(const struct fl_config *config, const struct batch *batch,
-                          int block_limit)
+static bool batch_is_full(const struct fl_node *node, const struct batch *batch, int block_limit)
 {
-	return batch->count >= block_limit || batch->count >= config->txn_ops ||
+	size_t value_bytes = node->kv_store.limits.in_force.value_bytes;
+
+	return batch->count >= block_limit || batch->count >= fl_record_txn_operations_max(node) ||
 	       batch->count >= BATCH_MAX ||
-	       batch->count * config->value_kb * 1024 > FL_RECORD_TXN_BYTES_MAX;
+	       (size_t)batch->count * value_bytes > FL_RECORD_TXN_BYTES_MAX;
 }
 
 /*
@@ -90,7 +90,7 @@
 
 			if (!block_is_in_scope(block, scope))
 				continue;
-			if (batch_is_full(node->config, batch, block_limit))
+			if (batch_is_full(node, batch, block_limit))
 				return true;
 			if (block->revision_unknown)
 				return false;
@@ -143,7 +143,7 @@
 		if (result == FL_KV_OK) {
 			block->saved_generation = written->generation;
 			block->mod_revision = revision;
-		} else if (result != FL_KV_UNAVAILABLE) {
+		} else if (!fl_kv_write_was_refused(result)) {
 			block->revision_unknown = true;
 		}
 	}
@@ -187,12 +187,12 @@
 			break;
 		}
 	}
-	return write_batch(node, node->config->txn_ops, URGENT_BLOCKS);
+	return write_batch(node, BATCH_MAX, URGENT_BLOCKS);
 }
 
 enum fl_kv_result fl_progress_write_within_budget(struct fl_node *node)
 {
-	double available = fl_token_bucket_available(&node->record_writer.write_budget, fl_now());
+	double available = fl_token_bucket_available(fl_record_write_budget(node), fl_now());
 
 	return available < 1 ? FL_KV_OK : write_batch(node, (int)available, UNSAVED_BLOCKS);
 }
--- a/src/coordination/persistence/record_writer.c
+++ b/src/coordination/persistence/record_writer.c
@@ -7,14 +7,14 @@
 #include "coordination/persistence/final_record_writer.h"
 #include "coordination/persistence/pending_deletions.h"
 #include "coordination/persistence/progress_writer.h"
+#include "coordination/persistence/record_txn.h"
 #include "coordination/workers/command.h"
 #include "storage/token_bucket.h"
 #include "transport/clock.h"
 
 static const struct {
-	double write_share, retry_s, idle_interval_s;
+	double retry_s, idle_interval_s;
 } tunables = {
-	.write_share = 0.7,     /* of the store's write rate, for the leader's records */
 	.retry_s = 0.2,         /* delay after a failed write */
 	.idle_interval_s = 0.5, /* maximum wait for a signal before the writer checks again */
 };
@@ -25,13 +25,6 @@
 	memset(writer, 0, sizeof(*writer));
 }
 
-void fl_record_writer_init_budget(struct fl_record_writer *writer, double store_write_rate)
-{
-	double rate = store_write_rate * tunables.write_share;
-
-	fl_token_bucket_init(&writer->write_budget, rate, rate, fl_now());
-}
-
 /* Returns whether a block of the job has changes that its progress record lacks. */
 static bool has_unsaved_block(const struct fl_job *job)
 {
@@ -86,12 +79,13 @@
 static bool await_budget_or_urgent_change(struct fl_node *node)
 {
 	struct fl_record_writer *writer = &node->record_writer;
-	double available = fl_token_bucket_available(&writer->write_budget, fl_now());
+	struct fl_token_bucket *budget = fl_record_write_budget(node);
+	double available = fl_token_bucket_available(budget, fl_now());
 
 	if (!node->cluster.dirty_jobs || available >= 1)
 		return true;
-	return fl_condition_wait(&writer->writes_pending,
-	                         (1 - available) / writer->write_budget.rate) != -ECANCELED;
+	return fl_condition_wait(&writer->writes_pending, (1 - available) / budget->rate) !=
+	       -ECANCELED;
 }
 
 void fl_record_writer_run(struct fl_node *node)
--- a/src/coordination/persistence/record_writer.h
+++ b/src/coordination/persistence/record_writer.h
@@ -19,7 +19,7 @@
 /* The state of the writer; reset when a leadership begins. */
 struct fl_record_writer {
 	struct fl_condition writes_pending;  /* signalled when there is something to write */
-	struct fl_token_bucket write_budget; /* puts and deletions per second */
+	struct fl_token_bucket write_budget; /* puts and deletions per second: record_txn.h */
 	/* Revision of the log's first value, which every write replaces; 0: there is no log. */
 	uint64_t wal_mod_revision;
 	bool wal_revision_known;
@@ -28,8 +28,6 @@
 
 /* Drops the writer's state of an earlier leadership. */
 void fl_record_writer_reset(struct fl_record_writer *writer);
-/* Sets up a full write budget, a share of the store's write rate (writes per second). */
-void fl_record_writer_init_budget(struct fl_record_writer *writer, double store_write_rate);
 /* Runs in a coroutine of the leader until the coroutine is cancelled. */
 void fl_record_writer_run(struct fl_node *node);
 
--- a/src/coordination/persistence/wal_writer.c
+++ b/src/coordination/persistence/wal_writer.c
@@ -11,11 +11,9 @@
 #include "transport/log.h"
 
 static const struct {
-	double value_fill_share;
 	size_t initial_capacity;
 } tunables = {
-	.value_fill_share = 0.85, /* of a value's size limit, to be filled by the log */
-	.initial_capacity = 64,   /* blocks; doubled when a write needs more */
+	.initial_capacity = 64, /* blocks; doubled when a write needs more */
 };
 
 /* A block in the write, and the generation up to which its changes are included. */
@@ -121,12 +119,12 @@
 
 static struct wal_write begin_wal_write(const struct fl_node *node)
 {
-	struct wal_write write = {.value_count_max = node->config->txn_ops};
-	double value_limit = node->config->value_kb * 1024 * tunables.value_fill_share;
-	double values_per_txn;
+	struct wal_write write = {
+		.value_limit = fl_kv_limits_fill_bytes(&node->kv_store.limits),
+		.value_count_max = fl_record_txn_operations_max(node),
+	};
+	double values_per_txn = FL_RECORD_TXN_BYTES_MAX / (double)write.value_limit;
 
-	write.value_limit = (size_t)value_limit;
-	values_per_txn = FL_RECORD_TXN_BYTES_MAX / (double)write.value_limit;
 	if (write.value_count_max > values_per_txn)
 		write.value_count_max = (int)values_per_txn;
 	fl_record_txn_init(&node->leader_lease, &write.txn);
@@ -162,7 +160,7 @@
 		mark_blocks_logged(write);
 		return FL_WAL_WRITTEN;
 	}
-	if (result != FL_KV_UNAVAILABLE)
+	if (!fl_kv_write_was_refused(result))
 		writer->wal_revision_known = false;
 	return FL_WAL_FAILED;
 }
--- a/src/protocol/kv_store.c
+++ b/src/protocol/kv_store.c
@@ -69,6 +69,8 @@
 		return "unavailable";
 	case FL_KV_INVALID:
 		return "invalid request or lease expired";
+	case FL_KV_TOO_LARGE:
+		return "too large";
 	case FL_KV_CANCELLED:
 		return "cancelled";
 	case FL_KV_OUTCOME_UNKNOWN:
@@ -77,6 +79,11 @@
 	return "unknown result";
 }
 
+bool fl_kv_write_was_refused(enum fl_kv_result result)
+{
+	return result == FL_KV_UNAVAILABLE || result == FL_KV_INVALID || result == FL_KV_TOO_LARGE;
+}
+
 /* Returns what the store's response implies for a request, including earlier copies of it. */
 static enum fl_kv_result result_of_reply(const struct fl_http_reply *reply)
 {
@@ -93,8 +100,25 @@
 	const char *method, *path;
 	const char *body; /* NULL: none */
 	double timeout_s;
+	const struct fl_kv_txn *txn; /* the transaction that `body` has; NULL: none */
 };
 
+/* Lowers the limits if the store refused a transaction for its size or rate. */
+static enum fl_kv_result apply_refusal(struct fl_kv_store *store, const struct request *request,
+                                       int http_status, enum fl_kv_result result)
+{
+	const struct fl_kv_txn *txn = request->txn;
+
+	if (!txn || !fl_kv_write_was_refused(result))
+		return result;
+	if (http_status == 429)
+		fl_kv_limits_on_throttling(&store->limits);
+	if (result == FL_KV_INVALID && !txn->uses_lease &&
+	    fl_kv_limits_on_refusal(&store->limits, &txn->size))
+		return FL_KV_TOO_LARGE;
+	return result;
+}
+
 /*
  * Sends a request. The caller deletes `*response` on every result; NULL: no response, or not valid
  * JSON.
@@ -119,7 +143,7 @@
 		store->last_failure_at = fl_now();
 	else if (reply.status != 429 && sent_at > store->last_success_sent_at)
 		store->last_success_sent_at = sent_at;
-	result = result_of_reply(&reply);
+	result = apply_refusal(store, request, reply.status, result_of_reply(&reply));
 	*response = fl_json_parse(reply.body.data, reply.body.length);
 	fl_buffer_free(&reply.body);
 	if (result == FL_KV_OK && !cJSON_IsObject(*response))
@@ -137,8 +161,10 @@
 
 	*value = NULL;
 	snprintf(path, sizeof(path), "/keys/%s", key);
-	result = send_request(store, &store->client,
-	                      &(struct request){"GET", path, NULL, tunables.timeout_s}, &object);
+	result = send_request(
+		store, &store->client,
+		&(struct request){.method = "GET", .path = path, .timeout_s = tunables.timeout_s},
+		&object);
 	if (result == FL_KV_OK && fl_json_get_uint(object, "KeyRev", revision) != FL_JSON_OK)
 		result = FL_KV_OUTCOME_UNKNOWN;
 	if (result == FL_KV_OK) {
@@ -221,9 +247,11 @@
 
 	snprintf(path, sizeof(path), "/keys?Prefix=%s%s%s&Page=%d", reader->prefix,
 	         reader->last_key[0] ? "&From=" : "", reader->last_key, tunables.page_size);
-	result =
-		send_request(reader->store, &reader->store->client,
-	                     &(struct request){"GET", path, NULL, 2 * tunables.timeout_s}, &object);
+	result = send_request(reader->store, &reader->store->client,
+	                      &(struct request){.method = "GET",
+	                                        .path = path,
+	                                        .timeout_s = 2 * tunables.timeout_s},
+	                      &object);
 	if (result == FL_KV_OK)
 		result = read_page(reader, on_event, context, object);
 	cJSON_Delete(object);
@@ -279,7 +307,9 @@
 	         (unsigned long long)*revision, (int)(watch->timeout_s * 1000));
 	result = send_request(
 		store, &store->watch_client,
-		&(struct request){"GET", path, NULL, watch->timeout_s + tunables.watch_slack_s},
+		&(struct request){.method = "GET",
+	                          .path = path,
+	                          .timeout_s = watch->timeout_s + tunables.watch_slack_s},
 		&object);
 	if (result == FL_KV_OK) {
 		events = fl_json_get(object, "Log");
@@ -300,7 +330,8 @@
 	txn->root = cJSON_CreateObject();
 	txn->conditions = cJSON_AddArrayToObject(txn->root, "When");
 	txn->operations = cJSON_AddArrayToObject(txn->root, "Apply");
-	txn->operation_count = 0;
+	txn->size = (struct fl_kv_txn_size){0};
+	txn->uses_lease = false;
 }
 
 void fl_kv_txn_free(struct fl_kv_txn *txn)
@@ -321,13 +352,19 @@
 void fl_kv_txn_put(struct fl_kv_txn *txn, const char *key, cJSON *value, uint64_t lease_id)
 {
 	cJSON *item = cJSON_CreateObject();
+	char *text = fl_json_print_and_delete(value);
+	size_t bytes = strlen(text);
 
 	cJSON_AddStringToObject(item, "Put", key);
-	cJSON_AddItemToObject(item, "V", value);
+	cJSON_AddItemToObject(item, "V", cJSON_CreateRaw(text));
+	free(text);
 	if (lease_id)
 		cJSON_AddNumberToObject(item, "Grant", (double)lease_id);
 	cJSON_AddItemToArray(txn->operations, item);
-	txn->operation_count++;
+	txn->size.operation_count++;
+	if (bytes > txn->size.largest_value_bytes)
+		txn->size.largest_value_bytes = bytes;
+	txn->uses_lease = txn->uses_lease || lease_id != 0;
 }
 
 void fl_kv_txn_delete(struct fl_kv_txn *txn, const char *key)
@@ -336,7 +373,7 @@
 
 	cJSON_AddStringToObject(item, "Delete", key);
 	cJSON_AddItemToArray(txn->operations, item);
-	txn->operation_count++;
+	txn->size.operation_count++;
 }
 
 enum fl_kv_result fl_kv_txn_commit(struct fl_kv_store *store, struct fl_kv_txn *txn,
@@ -348,7 +385,11 @@
 
 	txn->root = NULL;
 	result = send_request(store, &store->client,
-	                      &(struct request){"POST", "/multi", text, tunables.timeout_s},
+	                      &(struct request){.method = "POST",
+	                                        .path = "/multi",
+	                                        .body = text,
+	                                        .timeout_s = tunables.timeout_s,
+	                                        .txn = txn},
 	                      &object);
 	free(text);
 	if (result == FL_KV_OK && fl_json_get_uint(object, "LedgerRev", revision) != FL_JSON_OK)
@@ -372,7 +413,10 @@
 
 	snprintf(body, sizeof(body), "{\"TtlMs\":%d}", (int)(ttl_s * 1000));
 	result = send_request(store, &store->client,
-	                      &(struct request){"POST", "/holds", body, tunables.timeout_s},
+	                      &(struct request){.method = "POST",
+	                                        .path = "/holds",
+	                                        .body = body,
+	                                        .timeout_s = tunables.timeout_s},
 	                      &object);
 	if (result == FL_KV_OK && fl_json_get_uint(object, "Grant", lease_id) != FL_JSON_OK)
 		result = FL_KV_OUTCOME_UNKNOWN;
@@ -388,8 +432,11 @@
 	enum fl_kv_result result;
 
 	snprintf(path, sizeof(path), "/holds/%llu/extend", (unsigned long long)lease_id);
-	result = send_request(store, &store->client,
-	                      &(struct request){"POST", path, "{}", timeout_s}, &object);
+	result = send_request(
+		store, &store->client,
+		&(struct request){
+			.method = "POST", .path = path, .body = "{}", .timeout_s = timeout_s},
+		&object);
 	cJSON_Delete(object);
 	return result;
 }
@@ -402,7 +449,10 @@
 
 	snprintf(path, sizeof(path), "/holds/%llu", (unsigned long long)lease_id);
 	result = send_request(store, &store->client,
-	                      &(struct request){"DELETE", path, NULL, tunables.timeout_s}, &object);
+	                      &(struct request){.method = "DELETE",
+	                                        .path = path,
+	                                        .timeout_s = tunables.timeout_s},
+	                      &object);
 	cJSON_Delete(object);
 	return result;
 }
--- a/src/protocol/kv_store.h
+++ b/src/protocol/kv_store.h
@@ -9,6 +9,7 @@
 #define FL_PROTOCOL_KV_STORE_H
 
 #include "protocol/json.h"
+#include "protocol/kv_limits.h"
 #include "transport/http_client.h"
 
 /* Maximum size of a key in bytes, with its terminator. */
@@ -23,7 +24,12 @@
 	FL_KV_COMPACTED,   /* the revision to watch from is too old; list the keys again */
 	FL_KV_UNAVAILABLE, /* rejected (429, 503) and not executed; retry later */
 	FL_KV_INVALID,     /* rejected as malformed, or because the lease has expired */
-	FL_KV_CANCELLED,   /* the calling coroutine is cancelled; clean up and return */
+	/*
+	 * Rejected as too large and not executed. The limits are lowered, so the same transaction
+	 * must be built again in a smaller form; it would be rejected again unchanged.
+	 */
+	FL_KV_TOO_LARGE,
+	FL_KV_CANCELLED, /* the calling coroutine is cancelled; clean up and return */
 	/*
 	 * No response, or one that is malformed or has another status, or a rejection of a request
 	 * that was sent more than once; the request may be executed already, or later.
@@ -33,9 +39,12 @@
 
 /* Returns a description of the result for log lines. */
 const char *fl_kv_result_text(enum fl_kv_result result);
+/* Returns whether the result means that the write will never be executed. */
+bool fl_kv_write_was_refused(enum fl_kv_result result);
 
-/* A client, and when the store last responded. Times: monotonic clock, s. */
+/* A client, the store's limits, and when it last responded. Times: monotonic clock, s. */
 struct fl_kv_store {
+	struct fl_kv_limits limits;
 	struct fl_http_client client;       /* for short requests */
 	struct fl_http_client watch_client; /* for watches, each on its own connection */
 	/* When the newest request was sent that got a response other than 429 or 503. */
@@ -46,7 +55,8 @@
 /* A builder of a transaction: conditions, and the writes executed if all of them hold. */
 struct fl_kv_txn {
 	cJSON *root, *conditions, *operations;
-	int operation_count;
+	struct fl_kv_txn_size size;
+	bool uses_lease; /* a put is attached to a lease, which may have expired */
 };
 
 /* A listed key, or the change of a watched key. */
@@ -62,7 +72,10 @@
  * is neither a failure nor a success.
  */
 bool fl_kv_is_unavailable(const struct fl_kv_store *store);
-/* Initialises a client; returns false if the address is malformed. */
+/*
+ * Initialises a client, whose limits the caller then sets (fl_kv_limits_init); returns false if the
+ * address is malformed.
+ */
 bool fl_kv_init(struct fl_kv_store *store, const char *address);
 /*
  * Reads a key. The caller owns `*value`, which is NULL on a failure. `lease_id` (if not NULL)
@@ -115,7 +128,8 @@
 void fl_kv_txn_delete(struct fl_kv_txn *txn, const char *key);
 /*
  * Sends the transaction and consumes the builder. On FL_KV_COMPARE_FAILED, `failed_key` (if not
- * NULL) receives the first key whose condition failed, or is empty if the response names none.
+ * NULL) receives the first key whose condition failed, or is empty if the response names none. If
+ * the store rejects the transaction for its size or rate, the limits of `store` are lowered.
  */
 enum fl_kv_result fl_kv_txn_commit(struct fl_kv_store *store, struct fl_kv_txn *txn,
                                    uint64_t *revision, char failed_key[FL_KEY_MAX]);
--- a/src/storage/job_records.c
+++ b/src/storage/job_records.c
@@ -154,6 +154,7 @@
 	case FL_KV_COMPACTED:
 	case FL_KV_UNAVAILABLE:
 	case FL_KV_INVALID:
+	case FL_KV_TOO_LARGE:
 	case FL_KV_CANCELLED:
 	case FL_KV_OUTCOME_UNKNOWN:
 		break;
--- a/src/storage/token_bucket.c
+++ b/src/storage/token_bucket.c
@@ -20,6 +20,16 @@
 	return bucket->tokens;
 }
 
+void fl_token_bucket_set_rate(struct fl_token_bucket *bucket, double rate, double burst, double now)
+{
+	if (rate == bucket->rate && burst == bucket->burst)
+		return;
+	fl_token_bucket_available(bucket, now);
+	bucket->rate = rate;
+	bucket->burst = burst;
+	fl_token_bucket_available(bucket, now);
+}
+
 double fl_token_bucket_take(struct fl_token_bucket *bucket, double count, double now)
 {
 	fl_token_bucket_available(bucket, now);
--- a/src/storage/token_bucket.h
+++ b/src/storage/token_bucket.h
@@ -21,6 +21,9 @@
  * tokens.
  */
 double fl_token_bucket_take(struct fl_token_bucket *bucket, double count, double now);
+/* Changes the rate and the burst; the tokens that are available at `now` stay, up to the burst. */
+void fl_token_bucket_set_rate(struct fl_token_bucket *bucket, double rate, double burst,
+                              double now);
 /* Returns the number of tokens available at `now`. */
 double fl_token_bucket_available(struct fl_token_bucket *bucket, double now);
 
--- a/tests/contract_store_fixture.c
+++ b/tests/contract_store_fixture.c
@@ -143,6 +143,7 @@
 	store_fixture.config.cancel_s = 40;
 	node->machine_types_loaded = node->live_jobs_loaded = true;
 	node->kv_store.last_failure_at = -1e9;
+	fl_node_init_store_limits(node);
 	add_zones_and_teams(&node->cluster);
 	*state = node;
 	return 0;
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -51,6 +51,7 @@
 	fixture->config.report_s = 2;
 	fixture->config.cancel_s = 40;
 	fixture->config.value_kb = 4;
+	fl_node_init_store_limits(&fixture->node);
 	strcpy(fixture->config.node, "n0");
 	strcpy(fixture->config.location, "a");
 	fl_symbol_intern(&cluster->zones, "a");
--- a/tests/scripted_store.c
+++ b/tests/scripted_store.c
@@ -19,13 +19,85 @@
 
 /* ---- requests ---- */
 
+static bool value_is_too_large(const cJSON *operation)
+{
+	const cJSON *value = fl_json_get(operation, "V");
+	char *text = value ? cJSON_PrintUnformatted(value) : NULL;
+	bool too_large = text && strlen(text) > scripted_store.limits.value_bytes;
+
+	free(text);
+	return too_large;
+}
+
+static bool is_too_large(const cJSON *transaction)
+{
+	const cJSON *operations = fl_json_get(transaction, "Apply"), *operation;
+	const struct scripted_limits *limits = &scripted_store.limits;
+	int conditions = cJSON_GetArraySize(fl_json_get(transaction, "When"));
+
+	if (limits->operations > 0 && (cJSON_GetArraySize(operations) > limits->operations ||
+	                               conditions > 4 * limits->operations))
+		return true;
+	cJSON_ArrayForEach (operation, operations)
+		if (limits->value_bytes > 0 && value_is_too_large(operation))
+			return true;
+	return false;
+}
+
+static void count_too_large(const char *body)
+{
+	const char *last = scripted_store.last_too_large;
+
+	scripted_store.too_large_count++;
+	scripted_store.repeated_too_large_count += last && strcmp(last, body) == 0;
+	free(scripted_store.last_too_large);
+	scripted_store.last_too_large = strdup(body);
+}
+
+static bool take_write_tokens(const cJSON *transaction)
+{
+	double rate = scripted_store.limits.writes_per_s, now = fl_now();
+	double writes = cJSON_GetArraySize(fl_json_get(transaction, "Apply"));
+
+	if (rate <= 0)
+		return true;
+	scripted_store.write_tokens += (now - scripted_store.tokens_updated_at) * rate;
+	if (scripted_store.write_tokens > rate)
+		scripted_store.write_tokens = rate;
+	scripted_store.tokens_updated_at = now;
+	if (scripted_store.write_tokens < writes)
+		return false;
+	scripted_store.write_tokens -= writes;
+	return true;
+}
+
+/* Responds to a transaction beyond the limits and returns true, or false if it is within them. */
+static bool refuse_beyond_limits(const cJSON *transaction, const char *body,
+                                 struct fl_http_response *response)
+{
+	if (is_too_large(transaction)) {
+		count_too_large(body);
+		set_json_response(response, 400, NULL);
+		return true;
+	}
+	if (take_write_tokens(transaction))
+		return false;
+	scripted_store.throttled_count++;
+	set_json_response(response, 429, NULL);
+	return true;
+}
+
 static int serve_write(const char *body, double timeout_s, struct fl_http_response *response)
 {
-	struct scripted_write write;
+	struct scripted_write write = {.fate = WRITE_ANSWERED};
 	cJSON *transaction;
 
-	sim_require(scripted_store.write_count < SCRIPTED_WRITES_MAX);
-	write = scripted_store.writes[scripted_store.write_count++];
+	/* A test with limits checks what is stored in the end, not each write. */
+	sim_require(scripted_store.write_count < SCRIPTED_WRITES_MAX ||
+	            scripted_store.limits.operations > 0);
+	if (scripted_store.write_count < SCRIPTED_WRITES_MAX)
+		write = scripted_store.writes[scripted_store.write_count];
+	scripted_store.write_count++;
 	if (fl_sleep(write.answer_after_s) != 0)
 		return -ECANCELED;
 	if (write.fate == WRITE_REFUSED || write.fate == WRITE_THROTTLED) {
@@ -38,9 +110,11 @@
 		scripted_store.delayed_write = transaction;
 		return fl_sleep(timeout_s - write.answer_after_s) == 0 ? -ETIMEDOUT : -ECANCELED;
 	}
-	kv_model_serve_transaction(&scripted_store.model, transaction, response);
+	if (!refuse_beyond_limits(transaction, body, response)) {
+		kv_model_serve_transaction(&scripted_store.model, transaction, response);
+		fl_condition_broadcast(&scripted_store.model.changed);
+	}
 	cJSON_Delete(transaction);
-	fl_condition_broadcast(&scripted_store.model.changed);
 	return 0;
 }
 
@@ -119,6 +193,7 @@
 void scripted_store_end(void)
 {
 	cJSON_Delete(scripted_store.delayed_write);
+	free(scripted_store.last_too_large);
 	kv_model_free(&scripted_store.model);
 }
 
--- a/tests/test_contract_kv.c
+++ b/tests/test_contract_kv.c
@@ -205,6 +205,50 @@
 	assert_int_equal(got.rc[2], FL_KV_INVALID);
 }
 
+/* Sends a large transaction twice, the second time in the form that its refusal calls for. */
+static void send_large_transactions(const char *address, void *result)
+{
+	const struct fl_kv_write_limits current = {.value_bytes = 4096, .txn_operations = 8},
+					announced = {.value_bytes = 2048, .txn_operations = 2};
+	struct txn_results *got = result;
+	struct fl_kv_store kv_store;
+	struct fl_kv_txn txn;
+
+	fl_kv_init(&kv_store, address);
+	fl_kv_limits_init(&kv_store.limits, &current, &announced);
+	fl_kv_txn_init(&txn);
+	for (int i = 0; i < 3; i++)
+		fl_kv_txn_delete(&txn, "a/b");
+	got->rc[0] = fl_kv_txn_commit(&kv_store, &txn, &got->mod_revision[0], got->failed[0]);
+	got->mod_revision[0] = (uint64_t)kv_store.limits.in_force.txn_operations;
+	fl_kv_txn_init(&txn);
+	fl_kv_txn_delete(&txn, "a/b");
+	got->rc[1] = fl_kv_txn_commit(&kv_store, &txn, &got->mod_revision[1], got->failed[1]);
+	fl_http_client_close(&kv_store.client);
+	fl_http_client_close(&kv_store.watch_client);
+}
+
+/* The store's error text is not specified, so only the transaction's size tells why it is refused.
+ */
+static void a_refused_transaction_above_the_announced_limits_is_too_large(void **state)
+{
+	static const struct contract_exchange script[] = {
+		{"POST /multi\n"
+	         "{\"When\":[],\"Apply\":[{\"Delete\":\"a/b\"},{\"Delete\":\"a/"
+	         "b\"},{\"Delete\":\"a/b\"}]}",
+	         400, "{\"error\":\"large\"}"},
+		{"POST /multi\n{\"When\":[],\"Apply\":[{\"Delete\":\"a/b\"}]}", 400,
+	         "{\"error\":\"?\"}"},
+	};
+	struct txn_results got = {0};
+
+	(void)state;
+	contract_run_exchanges(send_large_transactions, &got, script, COUNT_OF(script));
+	assert_int_equal(got.rc[0], FL_KV_TOO_LARGE);
+	assert_int_equal(got.mod_revision[0], 2);
+	assert_int_equal(got.rc[1], FL_KV_INVALID);
+}
+
 /* Sends a transaction over an idle connection that has failed; *result is an fl_kv_result. */
 static void send_transaction_over_failed_connection(const char *address, void *result)
 {
@@ -300,6 +344,7 @@
 		cmocka_unit_test(keys_are_listed_page_by_page),
 		cmocka_unit_test(a_watch_returns_writes_and_deletions),
 		cmocka_unit_test(a_transaction_has_conditions_writes_deletions_and_leases),
+		cmocka_unit_test(a_refused_transaction_above_the_announced_limits_is_too_large),
 		cmocka_unit_test(a_write_that_was_sent_twice_is_not_known_to_be_refused),
 		cmocka_unit_test(a_lease_is_granted_renewed_and_revoked),
 	};
--- a/tests/test_contract_settings.c
+++ b/tests/test_contract_settings.c
@@ -195,12 +195,41 @@
 	}
 }
 
+/* The limits that the store may change to; most announce none, and others not all of them. */
+static void announced_limits_of_the_store_are_optional(void **state)
+{
+	struct fl_config config;
+	char text[SETTINGS_TEXT_MAX], error[256];
+	size_t length;
+
+	(void)state;
+	build_settings_without(-1, text);
+	length = strlen(text);
+	assert_int_equal(read_settings(text, &config, error), 0);
+	assert_true(config.next_state_write_rps == 0);
+	assert_true(config.next_value_kb == 0);
+	assert_int_equal(config.next_txn_ops, 0);
+
+	snprintf(text + length, sizeof(text) - length, "%s",
+	         "[settings.state.next]\nwrite_rps = 49.5\nvalue_kb = 3.5\ntxn_ops = 33\n");
+	assert_int_equal(read_settings(text, &config, error), 0);
+	assert_true(config.next_state_write_rps == 49.5);
+	assert_true(config.next_value_kb == 3.5);
+	assert_int_equal(config.next_txn_ops, 33);
+
+	snprintf(text + length, sizeof(text) - length, "[settings.state.next]\ntxn_ops = 33\n");
+	assert_int_equal(read_settings(text, &config, error), 0);
+	assert_true(config.next_value_kb == 0);
+	assert_int_equal(config.next_txn_ops, 33);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(every_setting_is_read_from_its_key),
 		cmocka_unit_test(a_settings_file_that_lacks_a_key_is_rejected_and_the_key_named),
 		cmocka_unit_test(an_objective_without_a_class_applies_to_all_classes),
+		cmocka_unit_test(announced_limits_of_the_store_are_optional),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_contract_store.c
+++ b/tests/test_contract_store.c
@@ -15,6 +15,7 @@
 #include "contract_text.h"
 #include "coordination/follower/heartbeat_digest.h"
 #include "coordination/leadership/failover.h"
+#include "coordination/persistence/record_txn.h"
 #include "coordination/persistence/wal_writer.h"
 #include "protocol/peers.h"
 #include "storage/job_records.h"
@@ -41,7 +42,7 @@
 
 	store_record("w/0", "{\"log\":[]}", 34, 0);
 	set_recorded_progress(&node->cluster, job);
-	fl_token_bucket_init(&node->record_writer.write_budget, 100, 100, fl_now());
+	fl_record_write_budget_init(node);
 	run_action_on_node(write_wal, 1);
 
 	assert_int_equal(store_fixture.transaction_count, 1);
--- a/tests/test_election_priority.c
+++ b/tests/test_election_priority.c
@@ -103,6 +103,9 @@
 	fixture.config.core_share = 1;
 	fixture.config.state_rps = fixture.config.state_write_rps = 100;
 	fixture.config.cloud_rps = 1;
+	fixture.config.txn_ops = 8;
+	fixture.config.value_kb = 4;
+	fl_node_init_store_limits(node);
 	node->machine_types_loaded = node->live_jobs_loaded = true;
 	assert_non_null(sim_spawn(PROCESS, start_election, NULL));
 
--- /dev/null
+++ b/tests/test_store_limits.c
@@ -0,0 +1,306 @@
+/*
+ * A key-value store that lowers its limits, announced or not: everything that a leader writes must
+ * be stored all the same, and no transaction that was refused as too large may be sent again
+ * unchanged. One leader in virtual time, with its record writer; its store refuses what is beyond
+ * the limits as the protocol says.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/leadership/failover.h"
+#include "coordination/node.h"
+#include "coordination/persistence/record_txn.h"
+#include "coordination/persistence/record_writer.h"
+#include "scripted_store.h"
+#include "storage/job_records.h"
+#include "storage/keys.h"
+#include "transport/clock.h"
+#include "virtual_time_fixture.h"
+
+enum { MACHINES = 200 };
+
+/* The limits at the start, and those that the store changes to. */
+static const struct scripted_limits first_limits = {4 * 1024, 8, 25};
+static const struct scripted_limits lowered_limits = {2 * 1024, 4, 18};
+
+static struct {
+	struct fl_node node;
+	struct fl_config config;
+	bool writer_runs;
+} scenario;
+
+static void run_for(double seconds) { sim_time_run(fl_now() + seconds); }
+
+/* ---- the leader ---- */
+
+static void run_record_writer(void *argument)
+{
+	(void)argument;
+	fl_record_writer_run(&scenario.node);
+}
+
+static void begin_leadership(struct fl_node *node)
+{
+	node->leader_lease.held = node->leadership.active = node->cluster.has_leader_state = true;
+	node->leader_lease.valid_until = fl_now() + 10000;
+	node->leader_lease.leader_mod_revision =
+		scripted_store_put(FL_KEY_LEADER, cJSON_CreateObject());
+	fl_record_write_budget_init(node);
+}
+
+static void set_limits(const struct scripted_limits *limits) { scripted_store.limits = *limits; }
+
+static void configure(struct fl_config *config, const struct scripted_limits *announced)
+{
+	config->value_kb = (double)first_limits.value_bytes / 1024;
+	config->txn_ops = first_limits.operations;
+	config->state_rps = config->state_write_rps = first_limits.writes_per_s;
+	config->next_value_kb = (double)announced->value_bytes / 1024;
+	config->next_txn_ops = announced->operations;
+	config->next_state_write_rps = announced->writes_per_s;
+}
+
+static int set_up_with(const struct scripted_limits *announced)
+{
+	struct fl_node *node = &scenario.node;
+
+	memset(&scenario, 0, sizeof(scenario));
+	scripted_store_begin();
+	sim_time_begin();
+	set_limits(&first_limits);
+	configure(&scenario.config, announced);
+	node->config = &scenario.config;
+	strcpy(node->cluster.teams.by_index[0].name, "t");
+	node->cluster.teams.count = 1;
+	fl_node_init_store_limits(node);
+	fl_job_lookups_init(node);
+	begin_leadership(node);
+	return 0;
+}
+
+static int set_up(void **state)
+{
+	(void)state;
+	return set_up_with(&lowered_limits);
+}
+
+/* Nothing is announced, so the leader learns of lower limits from refusals alone. */
+static int set_up_unannounced(void **state)
+{
+	(void)state;
+	return set_up_with(&(struct scripted_limits){0});
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	virtual_time_end();
+	fl_cluster_free(&scenario.node.cluster);
+	fl_record_writer_reset(&scenario.node.record_writer);
+	scripted_store_end();
+	return 0;
+}
+
+/* ---- jobs ---- */
+
+static struct fl_job *add_job(int number, uint32_t task_count)
+{
+	struct fl_node *node = &scenario.node;
+	struct fl_job_spec spec = {.job_class = "c",
+	                           .team = "t",
+	                           .image = "i",
+	                           .task_count = task_count,
+	                           .kind = FL_ARRAY,
+	                           .cpus = 0.1,
+	                           .ram_gb = 0.1,
+	                           .due_s = -1,
+	                           .machine_type_count = FL_ANY_MACHINE_TYPE};
+	char key[FL_KEY_MAX];
+	uint64_t revision;
+
+	snprintf(spec.ref, sizeof(spec.ref), "run-%06d", number);
+	fl_key_job(key, spec.ref);
+	revision = scripted_store_put(key, fl_job_record_encode_live(&spec, fl_wall_time()));
+	return fl_job_add(&node->cluster, &spec, fl_wall_time(), revision);
+}
+
+/* Places the job's tasks on machines whose names have `name_bytes` characters. */
+static void place_tasks(struct fl_job *job, int name_bytes)
+{
+	struct fl_cluster *cluster = &scenario.node.cluster;
+
+	for (uint32_t i = 0; i < job->task_count; i++) {
+		char name[FL_NAME_MAX];
+		struct fl_machine *machine;
+
+		snprintf(name, sizeof(name), "m-%0*u", name_bytes - 2, i % MACHINES);
+		machine = fl_machine_get_or_add(&cluster->machines, name, fl_now());
+		assert_non_null(machine);
+		assert_int_equal(fl_task_place(cluster, job, i,
+		                               &(struct fl_new_attempt){machine, 7}, fl_now()),
+		                 FL_PLACE_OK);
+	}
+}
+
+static void complete_tasks(struct fl_job *job)
+{
+	for (uint32_t i = 0; i < job->task_count; i++)
+		fl_task_mark_done(&scenario.node.cluster, job, i);
+}
+
+/* Starts the record writer, unless it runs, and lets it write for a while. */
+static void write_records_for(double seconds)
+{
+	if (!scenario.writer_runs)
+		assert_non_null(sim_spawn(0, run_record_writer, NULL));
+	scenario.writer_runs = true;
+	fl_condition_broadcast(&scenario.node.record_writer.writes_pending);
+	run_for(seconds);
+}
+
+/* ---- expectations ---- */
+
+static void expect_durable(const struct fl_job *job)
+{
+	for (uint32_t i = 0; i < job->task_count; i++)
+		assert_true(fl_task_change_is_durable(job, i));
+}
+
+static bool key_exists(const char *key)
+{
+	return kv_model_find(&scripted_store.model, key) != NULL;
+}
+
+static void expect_finished(const char *ref)
+{
+	char key[FL_KEY_MAX];
+
+	fl_key_finished(key, ref);
+	assert_true(key_exists(key));
+	fl_key_job(key, ref);
+	assert_false(key_exists(key));
+}
+
+static int count_keys(const char *prefix)
+{
+	const struct kv_entry *entry;
+	int count = 0;
+
+	for (entry = scripted_store.model.entries; entry; entry = entry->hh.next)
+		count += strncmp(entry->key, prefix, strlen(prefix)) == 0;
+	return count;
+}
+
+/* Every refusal lowered the limits in force, and nothing was sent again unchanged. */
+static void expect_refusals(int at_least, int at_most)
+{
+	assert_in_range(scripted_store.too_large_count, at_least, at_most);
+	assert_int_equal(scripted_store.repeated_too_large_count, 0);
+}
+
+/* ---- the log ---- */
+
+/*
+ * Guards against a cluster in which nothing starts any more: after the store had lowered its
+ * limits, the leader repeated a value of the write-ahead log that was too large, five times a
+ * second, and wrote nothing else.
+ */
+static void placements_are_stored_after_the_limits_were_lowered(void **state)
+{
+	struct fl_job *jobs[6];
+
+	(void)state;
+	set_limits(&lowered_limits);
+	for (int i = 0; i < 6; i++) {
+		jobs[i] = add_job(i, 40);
+		place_tasks(jobs[i], 8);
+	}
+	write_records_for(5);
+	expect_refusals(1, 1);
+	for (int i = 0; i < 6; i++)
+		expect_durable(jobs[i]);
+}
+
+/* The same with more records in a transaction than the store takes now, each small enough. */
+static void records_are_stored_with_fewer_changes_in_a_transaction(void **state)
+{
+	struct fl_job *jobs[24];
+
+	(void)state;
+	set_limits(&lowered_limits);
+	for (int i = 0; i < 24; i++) {
+		jobs[i] = add_job(i, 1);
+		place_tasks(jobs[i], 8);
+		complete_tasks(jobs[i]);
+	}
+	write_records_for(20);
+	expect_refusals(0, 1);
+	for (int i = 0; i < 24; i++) {
+		char ref[FL_REF_MAX];
+
+		snprintf(ref, sizeof(ref), "run-%06d", i);
+		expect_finished(ref);
+	}
+}
+
+/* The same without an announcement: each refusal halves what may have been too large. */
+static void placements_are_stored_after_limits_were_lowered_unannounced(void **state)
+{
+	struct fl_job *jobs[6];
+
+	(void)state;
+	set_limits(&lowered_limits);
+	for (int i = 0; i < 6; i++) {
+		jobs[i] = add_job(i, 40);
+		place_tasks(jobs[i], 8);
+	}
+	write_records_for(10);
+	expect_refusals(1, 3);
+	for (int i = 0; i < 6; i++)
+		expect_durable(jobs[i]);
+}
+
+/* ---- final records ---- */
+
+/*
+ * Guards against a job that stays pending with all its tasks done: its final record was written
+ * together with more deletions of progress records than the store took since its limits were
+ * lowered.
+ */
+static void a_job_of_many_blocks_is_finished_after_the_limits_were_lowered(void **state)
+{
+	struct fl_job *job = add_job(1, 600);
+
+	(void)state;
+	place_tasks(job, 8);
+	write_records_for(30);
+	expect_durable(job);
+	assert_int_equal(count_keys("p/"), 10);
+	set_limits(&lowered_limits);
+	complete_tasks(job);
+	write_records_for(30);
+	expect_refusals(1, 1);
+	expect_finished("run-000001");
+	assert_int_equal(count_keys("p/"), 0);
+}
+
+int main(void)
+{
+#define LIMITS_TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+		LIMITS_TEST(placements_are_stored_after_the_limits_were_lowered),
+		LIMITS_TEST(records_are_stored_with_fewer_changes_in_a_transaction),
+		cmocka_unit_test_setup_teardown(
+			placements_are_stored_after_limits_were_lowered_unannounced,
+			set_up_unannounced, tear_down),
+		LIMITS_TEST(a_job_of_many_blocks_is_finished_after_the_limits_were_lowered),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_unanswered_writes.c
+++ b/tests/test_unanswered_writes.c
@@ -17,6 +17,7 @@
 #include "coordination/api/status_from_leader.h"
 #include "coordination/node.h"
 #include "coordination/persistence/final_record_writer.h"
+#include "coordination/persistence/record_txn.h"
 #include "scripted_store.h"
 #include "storage/job_records.h"
 #include "storage/keys.h"
@@ -67,7 +68,8 @@
 	strcpy(node->cluster.teams.by_index[0].name, "t");
 	node->cluster.teams.count = 1;
 	fl_job_lookups_init(node);
-	fl_record_writer_init_budget(&node->record_writer, scenario.config.state_write_rps);
+	fl_node_init_store_limits(node);
+	fl_record_write_budget_init(node);
 	begin_leadership(node);
 	fl_key_job(key, REF);
 	revision = scripted_store_put(key, fl_job_record_encode_live(&spec, fl_wall_time()));
