Records: no transaction has more changes than the write rate allows at once

What users would see: with a store that takes fewer changes in a second than in a transaction, a job of many task blocks stays pending after its last task: the final record goes with as many deletions as fit into one transaction, which the store refuses each time with 429 since its bucket never holds that many.

Cause: txn_ops alone limited the transactions. Change: fl_record_txn_operations_max also bounds them by the burst of the leader's write budget (0.7 of the rate), with two at least.

--- a/src/coordination/persistence/record_txn.c
+++ b/src/coordination/persistence/record_txn.c
@@ -37,7 +37,12 @@
 
 int fl_record_txn_operations_max(const struct fl_node *node)
 {
-	return node->kv_store.limits.in_force.txn_operations;
+	int limit = node->kv_store.limits.in_force.txn_operations;
+	double burst = write_burst(node);
+
+	if (limit > burst)
+		limit = (int)burst;
+	return limit > FL_KV_TXN_OPERATIONS_MIN ? limit : FL_KV_TXN_OPERATIONS_MIN;
 }
 
 void fl_record_txn_init(const struct fl_leader_lease *lease, struct fl_kv_txn *txn)
--- a/src/coordination/persistence/record_txn.h
+++ b/src/coordination/persistence/record_txn.h
@@ -21,7 +21,10 @@
 
 /* Begins a transaction that expects the leader key as the holder of this lease wrote it. */
 void fl_record_txn_init(const struct fl_leader_lease *lease, struct fl_kv_txn *txn);
-/* Returns the maximum number of puts and deletions in one transaction. */
+/*
+ * Returns the maximum number of puts and deletions in one transaction, at least two: the limit in
+ * force, or what the write budget allows at once if that is less.
+ */
 int fl_record_txn_operations_max(const struct fl_node *node);
 /*
  * Waits until the write budget allows the transaction. Returns FL_KV_OK if it may be sent now.
--- a/tests/test_store_limits.c
+++ b/tests/test_store_limits.c
@@ -290,6 +290,28 @@
 	assert_int_equal(count_keys("p/"), 0);
 }
 
+/* ---- rate ---- */
+
+/* Guards against a transaction with more changes than the rate allows in a second: refused each
+ * time. */
+static void no_transaction_has_more_changes_than_the_rate_allows(void **state)
+{
+	const struct scripted_limits slow = {4 * 1024, 8, 4};
+	struct fl_job *job = add_job(1, 600);
+
+	(void)state;
+	place_tasks(job, 8);
+	write_records_for(30);
+	scenario.config.next_state_write_rps = slow.writes_per_s;
+	fl_node_init_store_limits(&scenario.node);
+	set_limits(&slow);
+	complete_tasks(job);
+	write_records_for(60);
+	expect_finished("run-000001");
+	assert_int_equal(count_keys("p/"), 0);
+	assert_in_range(scripted_store.throttled_count, 1, 3);
+}
+
 int main(void)
 {
 #define LIMITS_TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
@@ -300,6 +322,7 @@
 			placements_are_stored_after_limits_were_lowered_unannounced,
 			set_up_unannounced, tear_down),
 		LIMITS_TEST(a_job_of_many_blocks_is_finished_after_the_limits_were_lowered),
+		LIMITS_TEST(no_transaction_has_more_changes_than_the_rate_allows),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
