--- a/src/coordination/leadership/failover.c
+++ b/src/coordination/leadership/failover.c
@@ -20,6 +20,7 @@
 	struct fl_record_writer *writer; /* receives the log's revision and pending deletions */
 	double started_at;               /* monotonic clock, s */
 	struct fl_wal wal;
+	struct fl_block_merge merge; /* the block whose records are being read; no job: none */
 	int progress_record_count, orphan_record_count, unreadable_record_count;
 };
 
@@ -81,30 +82,57 @@
 	                    fl_monotonic_from_wall(record.cancelled_wall));
 }
 
+/* Restores the block whose records have all been read, if any. */
+static void restore_merged_block(struct failover *failover)
+{
+	struct fl_block_merge *merge = &failover->merge;
+	char key[FL_KEY_MAX];
+
+	if (!merge->job)
+		return;
+	if (fl_block_merge_restore(merge, failover->cluster, &failover->wal,
+	                           failover->started_at) != FL_DECODE_OK) {
+		fl_key_progress(key, merge->job->ref, merge->block_index, 0);
+		report_unreadable_record(failover, key);
+	}
+	merge->job = NULL;
+}
+
+/* Adds a record of a job's block; the records of a block come one after the other. */
+static void merge_progress_record(struct failover *failover, struct fl_job *job,
+                                  const struct fl_progress_key *progress_key,
+                                  const struct fl_kv_event *event)
+{
+	struct fl_block_merge *merge = &failover->merge;
+
+	if (merge->job != job || merge->block_index != progress_key->block_index) {
+		restore_merged_block(failover);
+		fl_block_merge_begin(merge, job, progress_key->block_index);
+	}
+	if (fl_block_merge_record(merge, progress_key->part_index, event->value,
+	                          event->mod_revision) != FL_DECODE_OK)
+		report_unreadable_record(failover, event->key);
+	failover->progress_record_count++;
+}
+
 static void load_progress_record(void *context, const struct fl_kv_event *event)
 {
 	struct failover *failover = context;
-	char ref[FL_REF_MAX];
-	const struct fl_task_block_source source = {event->value, event->mod_revision,
-	                                            &failover->wal};
-	uint32_t block_index;
+	struct fl_progress_key progress_key;
 	struct fl_job *job;
 
-	if (fl_key_progress_parse(event->key, ref, &block_index) != FL_DECODE_OK) {
-		failover->unreadable_record_count++;
+	if (fl_key_progress_parse(event->key, &progress_key) != FL_DECODE_OK) {
+		report_unreadable_record(failover, event->key);
 		return;
 	}
-	job = fl_job_find(failover->cluster, ref);
+	job = fl_job_find(failover->cluster, progress_key.ref);
 	if (!job) {
 		/* An orphan: a final write had more deletions than fit in one transaction. */
 		failover->orphan_record_count++;
 		fl_pending_deletions_add(&failover->writer->pending_deletions, event->key);
 		return;
 	}
-	if (fl_task_block_restore(failover->cluster, job, block_index, &source,
-	                          failover->started_at) != FL_DECODE_OK)
-		report_unreadable_record(failover, event->key);
-	failover->progress_record_count++;
+	merge_progress_record(failover, job, &progress_key, event);
 }
 
 static void load_wal_value(void *context, const struct fl_kv_event *event)
@@ -161,6 +189,7 @@
 	if (fl_kv_list(store, FL_PREFIX_PROGRESS, load_progress_record, failover, &revision) !=
 	    FL_KV_OK)
 		return FL_FAILOVER_STORE_FAILED;
+	restore_merged_block(failover);
 	restore_wal_only_blocks(failover);
 	return FL_FAILOVER_LOADED;
 }
--- a/src/coordination/persistence/final_record_writer.c
+++ b/src/coordination/persistence/final_record_writer.c
@@ -5,51 +5,64 @@
 #include "coordination/persistence/job_record_txn.h"
 #include "coordination/persistence/pending_deletions.h"
 #include "coordination/persistence/record_txn.h"
+#include "storage/block_parts.h"
 #include "storage/job_records.h"
 #include "storage/keys.h"
 #include "transport/log.h"
 
-static bool has_progress_record(const struct fl_task_block *block)
+/* A position in a job's progress records, which are visited block by block. */
+struct record_position {
+	uint32_t block_index;
+	int part_index;
+};
+
+/* Moves to the first stored progress record at or after the position; false if there is none. */
+static bool find_stored_record(const struct fl_job *job, struct record_position *position)
 {
-	return block && (block->mod_revision != 0 || block->revision_unknown);
+	for (; position->block_index < job->block_count; position->block_index++) {
+		const struct fl_task_block *block = fl_job_task_block(job, position->block_index);
+
+		for (; block && position->part_index < FL_BLOCK_PARTS_MAX; position->part_index++)
+			if (fl_block_part_is_stored(&block->parts[position->part_index]))
+				return true;
+		position->part_index = 0;
+	}
+	return false;
 }
 
 /*
  * Builds the transaction that replaces a job's record by its final one and deletes its progress
- * records. Returns the index of the first block whose deletion did not fit.
+ * records. Returns the position of the first one whose deletion did not fit.
  */
-static uint32_t build_final_txn(const struct fl_node *node, const struct fl_job *job,
-                                enum fl_job_status status, struct fl_job_record_txn *record_txn)
+static struct record_position build_final_txn(const struct fl_node *node, const struct fl_job *job,
+                                              enum fl_job_status status,
+                                              struct fl_job_record_txn *record_txn)
 {
-	struct fl_kv_txn *txn = &record_txn->txn;
 	int operations_max = fl_record_txn_operations_max(node);
+	struct fl_kv_txn *txn = &record_txn->txn;
+	struct record_position position = {0};
 	char key[FL_KEY_MAX];
-	uint32_t block_index = 0;
 
 	fl_job_record_txn_begin(node, job, record_txn);
 	fl_key_job(key, job->ref);
 	fl_kv_txn_delete(txn, key);
 	fl_key_finished(key, job->ref);
 	fl_kv_txn_put(txn, key, fl_job_record_encode_final(status, job->task_count), 0);
-	for (; block_index < job->block_count && txn->size.operation_count < operations_max;
-	     block_index++) {
-		if (!has_progress_record(fl_job_task_block(job, block_index)))
-			continue;
-		fl_key_progress(key, job->ref, block_index);
+	while (txn->size.operation_count < operations_max && find_stored_record(job, &position)) {
+		fl_key_progress(key, job->ref, position.block_index, position.part_index++);
 		fl_kv_txn_delete(txn, key);
 	}
-	return block_index;
+	return position;
 }
 
-/* Queues the job's progress records from this block on for later deletion. */
-static void defer_deletions(struct fl_node *node, const struct fl_job *job, uint32_t block_index)
+/* Queues the job's progress records from this position on for later deletion. */
+static void defer_deletions(struct fl_node *node, const struct fl_job *job,
+                            struct record_position position)
 {
 	char key[FL_KEY_MAX];
 
-	for (; block_index < job->block_count; block_index++) {
-		if (!has_progress_record(fl_job_task_block(job, block_index)))
-			continue;
-		fl_key_progress(key, job->ref, block_index);
+	while (find_stored_record(job, &position)) {
+		fl_key_progress(key, job->ref, position.block_index, position.part_index++);
 		fl_pending_deletions_add(&node->record_writer.pending_deletions, key);
 	}
 }
@@ -67,7 +80,7 @@
 	enum fl_kv_result result;
 	struct fl_job_record_txn txn;
 	uint64_t revision;
-	uint32_t undeleted_from = build_final_txn(node, job, status, &txn);
+	struct record_position undeleted_from = build_final_txn(node, job, status, &txn);
 
 	result = fl_record_txn_admit(node, &txn.txn);
 	if (result != FL_KV_OK)
--- a/src/coordination/persistence/progress_writer.c
+++ b/src/coordination/persistence/progress_writer.c
@@ -1,53 +1,83 @@
 #include "coordination/persistence/progress_writer.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 #include "coordination/node.h"
 #include "coordination/persistence/record_txn.h"
 #include "coordination/persistence/wal_writer.h"
+#include "storage/block_parts.h"
 #include "storage/keys.h"
 #include "storage/progress_records.h"
 #include "transport/clock.h"
 
 static const struct {
-	int wal_min_blocks;
+	int wal_min_records;
 } tunables = {
-	.wal_min_blocks = 3, /* fewer urgent blocks are written as progress records instead */
+	.wal_min_records = 3, /* fewer urgent changes are written as progress records instead */
 };
 
-/* Maximum number of blocks in one transaction. */
+/* Maximum number of records in one transaction. */
 enum { BATCH_MAX = 128 };
 
-/* The blocks that a transaction of progress records includes. */
-enum scope { UNSAVED_BLOCKS, URGENT_BLOCKS };
+/* The parts of blocks that a transaction of progress records includes. */
+enum scope { UNSAVED_PARTS, URGENT_PARTS };
 
-/* A block in a transaction, and the generation up to which its changes are included. */
-struct written_block {
+/* A part in a transaction, and the generation up to which its changes are included. */
+struct written_part {
 	struct fl_job *job;
 	uint32_t block_index;
+	int part_index;
 	uint64_t generation;
 };
 
-/* The blocks of one transaction. */
+/* The records of one transaction that is being built. */
 struct batch {
-	struct written_block blocks[BATCH_MAX];
-	int count;
+	struct fl_kv_txn txn;
+	enum scope scope;
+	struct written_part parts[BATCH_MAX];
+	int count, count_max;
+	size_t bytes, value_bytes_max; /* of all values, and the maximum of one */
+};
+
+/* The result of adding records to a transaction. */
+enum collect_result {
+	COLLECT_OK,
+	COLLECT_FULL,            /* the transaction is as large as it may be */
+	COLLECT_REVISION_UNKNOWN /* the revision of a record must be read first */
 };
 
-/* Returns whether a start waits for this block to be durable; exited tasks are not urgent. */
-static bool block_is_urgent(const struct fl_task_block *block)
+/* Returns whether a start of one of these tasks waits until it is durable. */
+static bool range_is_urgent(const struct fl_task_block *block, struct fl_task_range range,
+                            uint64_t saved_generation)
 {
-	uint64_t durable = block->saved_generation > block->logged_generation
-	                           ? block->saved_generation
-	                           : block->logged_generation;
+	uint64_t durable = saved_generation > block->logged_generation ? saved_generation
+	                                                               : block->logged_generation;
 
-	if (block->generation <= durable)
-		return false;
-	for (int i = 0; i < FL_TASK_BLOCK_SIZE; i++)
+	for (uint32_t i = range.first; i < range.end; i++)
 		if (block->tasks[i].phase == FL_TASK_PLACED && block->tasks[i].generation > durable)
 			return true;
 	return false;
 }
 
-static int count_urgent_blocks(const struct fl_cluster *cluster)
+static bool part_is_urgent(const struct fl_task_block *block, int part_index)
+{
+	uint64_t saved_generation = block->parts[part_index].saved_generation;
+
+	return block->generation > saved_generation &&
+	       range_is_urgent(block, fl_block_part_range(block, part_index), saved_generation);
+}
+
+static int count_urgent_parts(const struct fl_task_block *block)
+{
+	int count = 0;
+
+	for (int i = FL_BLOCK_PARTS_MAX; (i = fl_block_part_before(block, i)) >= 0;)
+		count += part_is_urgent(block, i);
+	return count;
+}
+
+static int count_urgent_records(const struct fl_cluster *cluster)
 {
 	int count = 0;
 
@@ -55,67 +85,110 @@
 		for (uint32_t i = 0; i < job->block_count; i++) {
 			const struct fl_task_block *block = fl_job_task_block(job, i);
 
-			count += block && block_is_urgent(block);
+			count += block ? count_urgent_parts(block) : 0;
 		}
 	return count;
 }
 
-static bool block_is_in_scope(const struct fl_task_block *block, enum scope scope)
+/* Until a part that was split has been written, no start may overwrite its old record. */
+static bool part_is_in_scope(const struct fl_task_block *block, int part_index, enum scope scope)
 {
-	if (!block || block->generation <= block->saved_generation)
-		return false;
-	return scope == UNSAVED_BLOCKS || block_is_urgent(block);
+	return scope == UNSAVED_PARTS
+	               ? fl_block_part_is_unsaved(block, part_index)
+	               : block->parts[part_index].must_rewrite || part_is_urgent(block, part_index);
 }
 
-static bool batch_is_full(const struct fl_node *node, const struct batch *batch, int block_limit)
+static void add_record(struct batch *batch, struct fl_job *job, uint32_t block_index,
+                       int part_index, cJSON *value)
 {
-	size_t value_bytes = node->kv_store.limits.in_force.value_bytes;
+	const struct fl_task_block *block = fl_job_task_block(job, block_index);
+	char key[FL_KEY_MAX];
 
-	return batch->count >= block_limit || batch->count >= fl_record_txn_operations_max(node) ||
-	       batch->count >= BATCH_MAX ||
-	       (size_t)batch->count * value_bytes > FL_RECORD_TXN_BYTES_MAX;
+	fl_key_progress(key, job->ref, block_index, part_index);
+	fl_kv_txn_expect_revision(&batch->txn, key, block->parts[part_index].mod_revision);
+	fl_kv_txn_put(&batch->txn, key, value, 0);
+	batch->parts[batch->count++] =
+		(struct written_part){job, block_index, part_index, block->generation};
 }
 
 /*
- * Adds up to `block_limit` blocks to the transaction. Returns false if the revision of one must be
- * read first, since a transaction that expects a wrong revision would fail.
+ * Adds a part's record to the transaction, unless it is larger than a value may be and the part can
+ * be split: then sets `*split` to the index of the second half, which must be added first.
  */
-static bool collect_blocks(const struct fl_node *node, struct fl_kv_txn *txn, struct batch *batch,
-                           int block_limit, enum scope scope)
+static enum collect_result collect_part(const struct fl_cluster *cluster, struct batch *batch,
+                                        struct fl_job *job, uint32_t block_index, int part_index,
+                                        int *split)
 {
-	for (struct fl_job *job = node->cluster.dirty_jobs; job; job = job->record.next_dirty) {
+	struct fl_task_block *block = fl_job_task_block(job, block_index);
+	char *text;
+	size_t bytes;
+
+	*split = -1;
+	if (batch->count >= batch->count_max)
+		return COLLECT_FULL;
+	if (block->parts[part_index].revision_unknown)
+		return COLLECT_REVISION_UNKNOWN;
+	text = fl_json_print_and_delete(fl_task_block_encode(
+		cluster, job, block_index, fl_block_part_range(block, part_index)));
+	if (!text)
+		return COLLECT_FULL;
+	bytes = strlen(text);
+	if (bytes > batch->value_bytes_max)
+		*split = fl_block_part_split(block, part_index);
+	if (*split < 0 && batch->bytes + bytes <= FL_RECORD_TXN_BYTES_MAX) {
+		add_record(batch, job, block_index, part_index, cJSON_CreateRaw(text));
+		batch->bytes += bytes;
+		free(text);
+		return COLLECT_OK;
+	}
+	free(text);
+	return *split < 0 ? COLLECT_FULL : COLLECT_OK;
+}
+
+/* Adds the parts of a block from the last one to the first: see block_parts.h. */
+static enum collect_result collect_block(const struct fl_cluster *cluster, struct batch *batch,
+                                         struct fl_job *job, uint32_t block_index)
+{
+	const struct fl_task_block *block = fl_job_task_block(job, block_index);
+	int i = block ? fl_block_part_before(block, FL_BLOCK_PARTS_MAX) : -1, split;
+
+	while (i >= 0) {
+		enum collect_result result = COLLECT_OK;
+
+		split = -1;
+		if (part_is_in_scope(block, i, batch->scope))
+			result = collect_part(cluster, batch, job, block_index, i, &split);
+		if (result != COLLECT_OK)
+			return result;
+		i = split >= 0 ? split : fl_block_part_before(block, i);
+	}
+	return COLLECT_OK;
+}
+
+static enum collect_result collect_records(const struct fl_cluster *cluster, struct batch *batch)
+{
+	for (struct fl_job *job = cluster->dirty_jobs; job; job = job->record.next_dirty)
 		for (uint32_t i = 0; i < job->block_count; i++) {
-			const struct fl_task_block *block = fl_job_task_block(job, i);
-			char key[FL_KEY_MAX];
-
-			if (!block_is_in_scope(block, scope))
-				continue;
-			if (batch_is_full(node, batch, block_limit))
-				return true;
-			if (block->revision_unknown)
-				return false;
-			fl_key_progress(key, job->ref, i);
-			fl_kv_txn_expect_revision(txn, key, block->mod_revision);
-			fl_kv_txn_put(txn, key, fl_task_block_encode(&node->cluster, job, i), 0);
-			batch->blocks[batch->count++] =
-				(struct written_block){job, i, block->generation};
+			enum collect_result result = collect_block(cluster, batch, job, i);
+
+			if (result != COLLECT_OK)
+				return result;
 		}
-	}
-	return true;
+	return COLLECT_OK;
 }
 
 /* Reads a record's revision after a write with an unknown outcome or a failed comparison. */
 static enum fl_kv_result reread_revision(struct fl_node *node, const struct fl_job *job,
-                                         uint32_t block_index)
+                                         uint32_t block_index, int part_index)
 {
-	struct fl_task_block *block = job->blocks[block_index];
+	struct fl_block_part *part = &fl_job_task_block(job, block_index)->parts[part_index];
 	enum fl_kv_result result;
 	char key[FL_KEY_MAX];
 
-	fl_key_progress(key, job->ref, block_index);
-	result = fl_kv_get_revision(&node->kv_store, key, &block->mod_revision);
+	fl_key_progress(key, job->ref, block_index, part_index);
+	result = fl_kv_get_revision(&node->kv_store, key, &part->mod_revision);
 	if (result == FL_KV_OK)
-		block->revision_unknown = false;
+		part->revision_unknown = false;
 	return result;
 }
 
@@ -126,8 +199,9 @@
 		for (uint32_t i = 0; i < job->block_count; i++) {
 			const struct fl_task_block *block = fl_job_task_block(job, i);
 
-			if (block && block->revision_unknown)
-				return reread_revision(node, job, i);
+			for (int k = 0; block && k < FL_BLOCK_PARTS_MAX; k++)
+				if (block->parts[k].revision_unknown)
+					return reread_revision(node, job, i, k);
 		}
 	return FL_KV_OK;
 }
@@ -137,47 +211,56 @@
                                uint64_t revision)
 {
 	for (int i = 0; i < batch->count; i++) {
-		const struct written_block *written = &batch->blocks[i];
-		struct fl_task_block *block = written->job->blocks[written->block_index];
+		const struct written_part *written = &batch->parts[i];
+		struct fl_block_part *part =
+			&written->job->blocks[written->block_index]->parts[written->part_index];
 
 		if (result == FL_KV_OK) {
-			block->saved_generation = written->generation;
-			block->mod_revision = revision;
+			part->saved_generation = written->generation;
+			part->mod_revision = revision;
+			part->must_rewrite = false;
 		} else if (!fl_kv_write_was_refused(result)) {
-			block->revision_unknown = true;
+			part->revision_unknown = true;
 		}
 	}
 }
 
-static enum fl_kv_result write_batch(struct fl_node *node, int block_limit, enum scope scope)
+/* Writes up to `count_max` records, as many as fit into one transaction. */
+static enum fl_kv_result write_batch(struct fl_node *node, int count_max, enum scope scope)
 {
-	struct batch batch = {.count = 0};
+	struct batch batch = {.scope = scope,
+	                      .count_max = fl_record_txn_operations_max(node),
+	                      .value_bytes_max = fl_kv_limits_fill_bytes(&node->kv_store.limits)};
+	enum collect_result collected;
 	enum fl_kv_result result;
-	struct fl_kv_txn txn;
 	uint64_t revision = 0;
-	bool revisions_known;
 
-	fl_record_txn_init(&node->leader_lease, &txn);
-	revisions_known = collect_blocks(node, &txn, &batch, block_limit, scope);
-	if (!revisions_known || batch.count == 0) {
-		fl_kv_txn_free(&txn);
-		return revisions_known ? FL_KV_OK : reread_unknown_revision(node);
+	if (batch.count_max > count_max)
+		batch.count_max = count_max;
+	if (batch.count_max > BATCH_MAX)
+		batch.count_max = BATCH_MAX;
+	fl_record_txn_init(&node->leader_lease, &batch.txn);
+	collected = collect_records(&node->cluster, &batch);
+	if (collected == COLLECT_REVISION_UNKNOWN || batch.count == 0) {
+		fl_kv_txn_free(&batch.txn);
+		return collected == COLLECT_REVISION_UNKNOWN ? reread_unknown_revision(node)
+		                                             : FL_KV_OK;
 	}
-	result = fl_record_txn_admit(node, &txn);
+	result = fl_record_txn_admit(node, &batch.txn);
 	if (result != FL_KV_OK)
 		return result;
-	result = fl_record_txn_commit(node, &txn, &revision);
+	result = fl_record_txn_commit(node, &batch.txn, &revision);
 	apply_batch_result(&batch, result, revision);
 	return result;
 }
 
 enum fl_kv_result fl_progress_write_urgent(struct fl_node *node)
 {
-	int count = count_urgent_blocks(&node->cluster);
+	int count = count_urgent_records(&node->cluster);
 
 	if (count == 0)
 		return FL_KV_OK;
-	if (count >= tunables.wal_min_blocks) {
+	if (count >= tunables.wal_min_records) {
 		switch (fl_wal_writer_write(node)) {
 		case FL_WAL_WRITTEN:
 			return FL_KV_OK;
@@ -187,12 +270,12 @@
 			break;
 		}
 	}
-	return write_batch(node, BATCH_MAX, URGENT_BLOCKS);
+	return write_batch(node, BATCH_MAX, URGENT_PARTS);
 }
 
 enum fl_kv_result fl_progress_write_within_budget(struct fl_node *node)
 {
 	double available = fl_token_bucket_available(fl_record_write_budget(node), fl_now());
 
-	return available < 1 ? FL_KV_OK : write_batch(node, (int)available, UNSAVED_BLOCKS);
+	return available < 1 ? FL_KV_OK : write_batch(node, (int)available, UNSAVED_PARTS);
 }
--- a/src/coordination/persistence/record_writer.c
+++ b/src/coordination/persistence/record_writer.c
@@ -9,6 +9,7 @@
 #include "coordination/persistence/progress_writer.h"
 #include "coordination/persistence/record_txn.h"
 #include "coordination/workers/command.h"
+#include "storage/block_parts.h"
 #include "storage/token_bucket.h"
 #include "transport/clock.h"
 
@@ -25,13 +26,13 @@
 	memset(writer, 0, sizeof(*writer));
 }
 
-/* Returns whether a block of the job has changes that its progress record lacks. */
+/* Returns whether a block of the job has changes that its progress records lack. */
 static bool has_unsaved_block(const struct fl_job *job)
 {
 	for (uint32_t i = 0; i < job->block_count; i++) {
 		const struct fl_task_block *block = fl_job_task_block(job, i);
 
-		if (block && block->generation > block->saved_generation)
+		if (block && fl_block_is_unsaved(block))
 			return true;
 	}
 	return false;
--- a/src/coordination/persistence/wal_writer.c
+++ b/src/coordination/persistence/wal_writer.c
@@ -69,7 +69,7 @@
 static bool add_block(struct wal_write *write, const struct fl_cluster *cluster, struct fl_job *job,
                       uint32_t block_index)
 {
-	char *group = fl_wal_group_encode(cluster, job, block_index);
+	char *group = fl_wal_group_encode(cluster, job, block_index, FL_WHOLE_BLOCK);
 	size_t bytes = group ? strlen(group) + 1 : 0;
 	bool fits;
 
--- a/src/storage/cluster.h
+++ b/src/storage/cluster.h
@@ -14,8 +14,15 @@
 #include "storage/machines.h"
 #include "storage/teams.h"
 
-/* Number of tasks in one progress record; keeps the stored value well below 4 KiB. */
-enum { FL_TASK_BLOCK_SIZE = 64 };
+/*
+ * Number of tasks in a task block, and in the smallest part of a block with a progress record of
+ * its own, which fits into a value of 1 KiB with any names of machines.
+ */
+enum {
+	FL_TASK_BLOCK_SIZE = 64,
+	FL_BLOCK_PART_MIN_TASKS = 8,
+	FL_BLOCK_PARTS_MAX = FL_TASK_BLOCK_SIZE / FL_BLOCK_PART_MIN_TASKS
+};
 
 /* The phase of a task. PLACED: an attempt may exist on a machine. DONE is final. */
 enum fl_task_phase { FL_TASK_WAITING, FL_TASK_PLACED, FL_TASK_DONE };
@@ -46,14 +53,23 @@
 	double not_before;      /* WAITING: earliest time of the next start, after a backoff */
 };
 
-/* The tasks that share a progress record, FL_TASK_BLOCK_SIZE of them. */
+/* A part of a task block, whose tasks share a progress record: see block_parts.h. */
+struct fl_block_part {
+	uint64_t saved_generation; /* changes up to this one are in a progress record */
+	uint64_t mod_revision;     /* revision of the part's record; 0: no record exists */
+	bool is_split_off;         /* a part begins here; the first part of a block always does */
+	/* The tasks in the part's record are not those of the part, since it has been split. */
+	bool must_rewrite;
+	bool revision_unknown; /* a write had an unknown outcome; read before writing again */
+};
+
+/* FL_TASK_BLOCK_SIZE tasks, stored in one progress record or, if it would be too large, several. */
 struct fl_task_block {
 	struct fl_task tasks[FL_TASK_BLOCK_SIZE];
 	uint64_t generation;        /* number of changes; a task holds that of its latest change */
-	uint64_t saved_generation;  /* changes up to this one are in the progress record */
 	uint64_t logged_generation; /* changes up to this one are durable: in the log or record */
-	uint64_t mod_revision;      /* revision of the progress record; 0: no record exists */
-	bool revision_unknown;      /* a write had an unknown outcome; read before writing again */
+	struct fl_block_part
+		parts[FL_BLOCK_PARTS_MAX]; /* by first task / FL_BLOCK_PART_MIN_TASKS */
 };
 
 /* Number of a job's tasks in each phase; running tasks are also counted as placed. */
--- a/src/storage/keys.h
+++ b/src/storage/keys.h
@@ -25,10 +25,20 @@
 void fl_key_job(char key[FL_KEY_MAX], const char *ref);
 /* Writes the key of a job's final record. */
 void fl_key_finished(char key[FL_KEY_MAX], const char *ref);
-/* Writes the key of the progress record of a task block. */
-void fl_key_progress(char key[FL_KEY_MAX], const char *ref, uint32_t block_index);
-/* Parses the key of a progress record, e.g. "p/run-000412/3". */
-enum fl_decode_result fl_key_progress_parse(const char *key, char ref[FL_REF_MAX],
-                                            uint32_t *block_index);
+/* The progress record that a key names. */
+struct fl_progress_key {
+	char ref[FL_REF_MAX];
+	uint32_t block_index;
+	int part_index; /* of the part of the block */
+};
+
+/*
+ * Writes the key of the progress record of a part of a task block: for the first part
+ * "p/run-000412/3", for the others the offset of their first task follows, as in
+ * "p/run-000412/3/32".
+ */
+void fl_key_progress(char key[FL_KEY_MAX], const char *ref, uint32_t block_index, int part_index);
+/* Parses the key of a progress record. */
+enum fl_decode_result fl_key_progress_parse(const char *key, struct fl_progress_key *out);
 
 #endif
--- a/src/storage/progress_records.c
+++ b/src/storage/progress_records.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "storage/write_ahead_log.h"
+#include "transport/text.h"
 
 /* Which tasks of a block are encoded. */
 enum task_scope { ALL_TASKS, UNSAVED_TASKS };
@@ -31,14 +32,14 @@
 }
 
 /*
- * Returns the last task of the range of done tasks that begins at `first`. The range may include
- * tasks that are already saved; the log may repeat them.
+ * Returns the last of the done tasks that begin at `first`, before `end`. They may include tasks
+ * that are already saved; the log may repeat them.
  */
-static uint32_t end_of_done_range(const struct fl_task_block *block, uint32_t first)
+static uint32_t last_of_done_tasks(const struct fl_task_block *block, uint32_t first, uint32_t end)
 {
 	uint32_t last = first;
 
-	while (last + 1 < FL_TASK_BLOCK_SIZE && block->tasks[last + 1].phase == FL_TASK_DONE)
+	while (last + 1 < end && block->tasks[last + 1].phase == FL_TASK_DONE)
 		last++;
 	return last;
 }
@@ -49,7 +50,7 @@
  * earlier attempts, and placed tasks with the wall-clock time of their placement.
  */
 static cJSON *encode_block(const struct fl_cluster *cluster, const struct fl_job *job,
-                           uint32_t block_index, enum task_scope scope)
+                           uint32_t block_index, struct fl_task_range range, enum task_scope scope)
 {
 	const struct fl_task_block *block = job->blocks[block_index];
 	uint32_t base = block_index * FL_TASK_BLOCK_SIZE;
@@ -58,13 +59,13 @@
 	cJSON *waiting = cJSON_AddArrayToObject(object, "t");
 	cJSON *placed = cJSON_AddArrayToObject(object, "m");
 
-	for (uint32_t i = 0; i < FL_TASK_BLOCK_SIZE && base + i < job->task_count; i++) {
+	for (uint32_t i = range.first; i < range.end && base + i < job->task_count; i++) {
 		const struct fl_task *task = &block->tasks[i];
 
 		if (scope == UNSAVED_TASKS && fl_task_change_is_saved(block, task))
 			continue;
 		if (task->phase == FL_TASK_DONE) {
-			uint32_t last = end_of_done_range(block, i);
+			uint32_t last = last_of_done_tasks(block, i, range.end);
 
 			cJSON_AddItemToArray(done, encode_number_pair(base + i, base + last));
 			i = last;
@@ -78,35 +79,23 @@
 }
 
 cJSON *fl_task_block_encode(const struct fl_cluster *cluster, const struct fl_job *job,
-                            uint32_t block_index)
+                            uint32_t block_index, struct fl_task_range range)
 {
-	return encode_block(cluster, job, block_index, ALL_TASKS);
+	return encode_block(cluster, job, block_index, range, ALL_TASKS);
 }
 
 cJSON *fl_task_block_encode_unsaved(const struct fl_cluster *cluster, const struct fl_job *job,
-                                    uint32_t block_index)
+                                    uint32_t block_index, struct fl_task_range range)
 {
-	return encode_block(cluster, job, block_index, UNSAVED_TASKS);
+	return encode_block(cluster, job, block_index, range, UNSAVED_TASKS);
 }
 
-/* Where a task's state was read from. */
-enum state_source { FROM_RECORD, FROM_LOG };
-
-/* A task's state as stored. Of two states of a task, the newer one is used. */
-struct task_state {
-	enum fl_task_phase phase;
-	uint32_t attempt;
-	const char *machine; /* name, borrowed from the decoded value */
-	uint64_t incarnation;
-	double placed_wall;
-	enum state_source source; /* FROM_LOG: only the log holds this state, no record does */
-};
-
 /*
  * Returns whether `state` is newer than `other`: DONE is final, attempt numbers only increase, and
  * within an attempt the release follows the placement.
  */
-static bool task_state_is_newer(const struct task_state *state, const struct task_state *other)
+static bool task_state_is_newer(const struct fl_stored_task_state *state,
+                                const struct fl_stored_task_state *other)
 {
 	if (state->phase == FL_TASK_DONE || other->phase == FL_TASK_DONE)
 		return other->phase != FL_TASK_DONE;
@@ -115,24 +104,18 @@
 	return state->phase == FL_TASK_WAITING && other->phase == FL_TASK_PLACED;
 }
 
-/* A block whose task states are being merged. */
-struct block_merge {
-	const struct fl_job *job;
-	uint32_t block_index;
-	enum state_source source; /* source of the value being merged */
-	struct task_state states[FL_TASK_BLOCK_SIZE];
-};
-
 /* Keeps the newer of a task's merged state and `state`; MALFORMED if the block has no such task. */
-static enum fl_decode_result merge_task(struct block_merge *merge, uint64_t index,
-                                        const struct task_state *state)
+static enum fl_decode_result merge_task(struct fl_block_merge *merge, uint64_t index,
+                                        const struct fl_stored_task_state *state)
 {
 	uint64_t base = (uint64_t)merge->block_index * FL_TASK_BLOCK_SIZE;
-	struct task_state *newest;
+	struct fl_stored_task_state *newest;
 
 	if (index < base || index >= base + FL_TASK_BLOCK_SIZE || index >= merge->job->task_count)
 		return FL_DECODE_MALFORMED;
 	newest = &merge->states[index - base];
+	if (index - base >= merge->record_end)
+		merge->record_end = (uint32_t)(index - base) + 1;
 	if (task_state_is_newer(state, newest))
 		*newest = *state;
 	return FL_DECODE_OK;
@@ -146,9 +129,9 @@
 	return FL_DECODE_OK;
 }
 
-static enum fl_decode_result merge_done(struct block_merge *merge, const cJSON *item)
+static enum fl_decode_result merge_done(struct fl_block_merge *merge, const cJSON *item)
 {
-	const struct task_state state = {.phase = FL_TASK_DONE, .source = merge->source};
+	const struct fl_stored_task_state state = {.phase = FL_TASK_DONE, .source = merge->source};
 	uint64_t first, last;
 
 	if (decode_range(item, &first, &last) != FL_DECODE_OK)
@@ -159,9 +142,9 @@
 	return FL_DECODE_OK;
 }
 
-static enum fl_decode_result merge_waiting(struct block_merge *merge, const cJSON *item)
+static enum fl_decode_result merge_waiting(struct fl_block_merge *merge, const cJSON *item)
 {
-	struct task_state state = {.phase = FL_TASK_WAITING, .source = merge->source};
+	struct fl_stored_task_state state = {.phase = FL_TASK_WAITING, .source = merge->source};
 	uint64_t index, attempt;
 
 	if (fl_json_get_uint_at(item, 0, FL_TASKS_MAX, &index) != FL_JSON_OK ||
@@ -171,9 +154,9 @@
 	return merge_task(merge, index, &state);
 }
 
-static enum fl_decode_result merge_placed(struct block_merge *merge, const cJSON *item)
+static enum fl_decode_result merge_placed(struct fl_block_merge *merge, const cJSON *item)
 {
-	struct task_state state = {.phase = FL_TASK_PLACED, .source = merge->source};
+	struct fl_stored_task_state state = {.phase = FL_TASK_PLACED, .source = merge->source};
 	const cJSON *name = cJSON_GetArrayItem(item, 2);
 	uint64_t index, attempt, placed = 0;
 
@@ -185,13 +168,13 @@
 	    !cJSON_IsString(name) || strlen(name->valuestring) >= FL_NAME_MAX)
 		return FL_DECODE_MALFORMED;
 	state.attempt = (uint32_t)attempt;
-	state.machine = name->valuestring;
+	fl_copy_string(state.machine, sizeof(state.machine), name->valuestring);
 	state.placed_wall = (double)placed;
 	return merge_task(merge, index, &state);
 }
 
 /* Merges the task states of a progress record, or of a group of the log, into the block. */
-static enum fl_decode_result merge_record(struct block_merge *merge, const cJSON *value)
+static enum fl_decode_result merge_record(struct fl_block_merge *merge, const cJSON *value)
 {
 	const cJSON *item;
 
@@ -208,8 +191,8 @@
 }
 
 static enum fl_decode_result restore_placed(struct fl_cluster *cluster, struct fl_job *job,
-                                            uint32_t index, const struct task_state *state,
-                                            double now)
+                                            uint32_t index,
+                                            const struct fl_stored_task_state *state, double now)
 {
 	struct fl_recorded_attempt recorded = {
 		.attempt = state->attempt,
@@ -224,7 +207,7 @@
 }
 
 static enum fl_decode_result restore_task(struct fl_cluster *cluster, struct fl_job *job,
-                                          uint32_t index, const struct task_state *state,
+                                          uint32_t index, const struct fl_stored_task_state *state,
                                           double now)
 {
 	struct fl_task *task = fl_task_get_or_alloc(job, index);
@@ -248,17 +231,17 @@
 	if (result != FL_DECODE_OK)
 		return result;
 	/* The next write replaces the log, so it must include changes that no record holds yet. */
-	if (state->source == FROM_LOG)
+	if (state->source == FL_STATE_FROM_LOG)
 		fl_task_mark_changed(cluster, job, index);
 	return FL_DECODE_OK;
 }
 
 /* Merges the block's groups in the log, and marks them as restored. */
-static enum fl_decode_result merge_log(struct block_merge *merge, struct fl_wal *wal)
+static enum fl_decode_result merge_log(struct fl_block_merge *merge, struct fl_wal *wal)
 {
 	int i = fl_wal_first_group(wal, merge->job->ref, merge->block_index);
 
-	merge->source = FROM_LOG;
+	merge->source = FL_STATE_FROM_LOG;
 	for (; i != FL_INDEX_NONE; i = wal->groups[i].next_of_block) {
 		wal->groups[i].restored = true;
 		if (merge_record(merge, wal->groups[i].changes) != FL_DECODE_OK)
@@ -267,26 +250,78 @@
 	return FL_DECODE_OK;
 }
 
-enum fl_decode_result fl_task_block_restore(struct fl_cluster *cluster, struct fl_job *job,
-                                            uint32_t block_index,
-                                            const struct fl_task_block_source *source, double now)
+void fl_block_merge_begin(struct fl_block_merge *merge, struct fl_job *job, uint32_t block_index)
+{
+	memset(merge, 0, sizeof(*merge));
+	merge->job = job;
+	merge->block_index = block_index;
+}
+
+enum fl_decode_result fl_block_merge_record(struct fl_block_merge *merge, int part_index,
+                                            const cJSON *value, uint64_t revision)
 {
-	struct block_merge merge = {.job = job, .block_index = block_index, .source = FROM_RECORD};
-	uint32_t base = block_index * FL_TASK_BLOCK_SIZE;
 	enum fl_decode_result result;
 
-	if (block_index >= job->block_count || !fl_task_get_or_alloc(job, base))
+	merge->source = FL_STATE_FROM_RECORD;
+	merge->record_end = 0;
+	result = merge_record(merge, value);
+	merge->mod_revisions[part_index] = revision;
+	merge->record_ends[part_index] = merge->record_end;
+	return result;
+}
+
+/*
+ * Restores which parts have records. If the last leader ended between the writes of the two halves
+ * of a part, the record of the first half still has tasks of the second one.
+ */
+static void restore_parts(const struct fl_block_merge *merge, struct fl_cluster *cluster,
+                          struct fl_task_block *block)
+{
+	for (int i = 0; i < FL_BLOCK_PARTS_MAX; i++) {
+		block->parts[i].mod_revision = merge->mod_revisions[i];
+		block->parts[i].is_split_off = i > 0 && merge->mod_revisions[i] != 0;
+	}
+	for (int i = FL_BLOCK_PARTS_MAX; (i = fl_block_part_before(block, i)) >= 0;) {
+		if (merge->record_ends[i] <= fl_block_part_range(block, i).end)
+			continue;
+		block->parts[i].must_rewrite = true;
+		fl_job_mark_dirty(cluster, merge->job);
+	}
+}
+
+enum fl_decode_result fl_block_merge_restore(struct fl_block_merge *merge,
+                                             struct fl_cluster *cluster, struct fl_wal *wal,
+                                             double now)
+{
+	uint32_t base = merge->block_index * FL_TASK_BLOCK_SIZE;
+	enum fl_decode_result result = FL_DECODE_OK;
+	struct fl_job *job = merge->job;
+
+	if (merge->block_index >= job->block_count || !fl_task_get_or_alloc(job, base))
 		return FL_DECODE_MALFORMED;
-	result = merge_record(&merge, source->value);
-	if (result == FL_DECODE_OK && source->wal)
-		result = merge_log(&merge, source->wal);
+	restore_parts(merge, cluster, job->blocks[merge->block_index]);
+	if (wal)
+		result = merge_log(merge, wal);
 	for (uint32_t i = 0; i < FL_TASK_BLOCK_SIZE && result == FL_DECODE_OK; i++)
-		if (merge.states[i].phase != FL_TASK_WAITING || merge.states[i].attempt > 0)
-			result = restore_task(cluster, job, base + i, &merge.states[i], now);
-	job->blocks[block_index]->mod_revision = source->revision;
+		if (merge->states[i].phase != FL_TASK_WAITING || merge->states[i].attempt > 0)
+			result = restore_task(cluster, job, base + i, &merge->states[i], now);
 	return result;
 }
 
+enum fl_decode_result fl_task_block_restore(struct fl_cluster *cluster, struct fl_job *job,
+                                            uint32_t block_index,
+                                            const struct fl_task_block_source *source, double now)
+{
+	struct fl_block_merge merge;
+	enum fl_decode_result result = FL_DECODE_OK;
+
+	fl_block_merge_begin(&merge, job, block_index);
+	if (source->value)
+		result = fl_block_merge_record(&merge, 0, source->value, source->revision);
+	return result == FL_DECODE_OK ? fl_block_merge_restore(&merge, cluster, source->wal, now)
+	                              : result;
+}
+
 enum fl_decode_result fl_progress_record_add_counts(const cJSON *value, uint32_t *done,
                                                     uint32_t *placed)
 {
--- a/src/storage/tasks.c
+++ b/src/storage/tasks.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "storage/block_parts.h"
 #include "storage/jobs.h"
 #include "transport/clock.h"
 
@@ -38,7 +39,7 @@
 
 bool fl_task_change_is_saved(const struct fl_task_block *block, const struct fl_task *task)
 {
-	return task->generation <= block->saved_generation;
+	return task->generation <= fl_block_part_of_task(block, task)->saved_generation;
 }
 
 void fl_task_mark_changed(struct fl_cluster *cluster, struct fl_job *job, uint32_t index)
--- a/src/storage/write_ahead_log.c
+++ b/src/storage/write_ahead_log.c
@@ -20,19 +20,27 @@
 	int first, last;
 };
 
+static bool has_unsaved_task(const struct fl_task_block *block, struct fl_task_range range)
+{
+	for (uint32_t i = range.first; i < range.end; i++)
+		if (!fl_task_change_is_saved(block, &block->tasks[i]))
+			return true;
+	return false;
+}
+
 /* Encodes a group as [job id, block index, changes], e.g. ["run-000412",3,{...}]. */
 char *fl_wal_group_encode(const struct fl_cluster *cluster, const struct fl_job *job,
-                          uint32_t block_index)
+                          uint32_t block_index, struct fl_task_range range)
 {
 	const struct fl_task_block *block = fl_job_task_block(job, block_index);
 	cJSON *item;
 
-	if (!block || block->generation <= block->saved_generation)
+	if (!block || !has_unsaved_task(block, range))
 		return NULL;
 	item = cJSON_CreateArray();
 	cJSON_AddItemToArray(item, cJSON_CreateString(job->ref));
 	cJSON_AddItemToArray(item, cJSON_CreateNumber(block_index));
-	cJSON_AddItemToArray(item, fl_task_block_encode_unsaved(cluster, job, block_index));
+	cJSON_AddItemToArray(item, fl_task_block_encode_unsaved(cluster, job, block_index, range));
 	return fl_json_print_and_delete(item);
 }
 
--- a/src/storage/write_ahead_log.h
+++ b/src/storage/write_ahead_log.h
@@ -7,6 +7,7 @@
 #ifndef FL_STORAGE_WRITE_AHEAD_LOG_H
 #define FL_STORAGE_WRITE_AHEAD_LOG_H
 
+#include "storage/block_parts.h"
 #include "storage/jobs.h"
 
 /* The changes of one task block in one value of the log. */
@@ -28,11 +29,11 @@
 };
 
 /*
- * Returns the unsaved changes of a block as an encoded group, which the caller frees; NULL if there
- * are none.
+ * Returns the unsaved changes of these tasks of a block as an encoded group, which the caller
+ * frees; NULL if there are none. The log may have several groups of a block.
  */
 char *fl_wal_group_encode(const struct fl_cluster *cluster, const struct fl_job *job,
-                          uint32_t block_index);
+                          uint32_t block_index, struct fl_task_range range);
 /* Returns a value without groups, which the caller owns. */
 cJSON *fl_wal_value_create(void);
 /* Adds a copy of an encoded group to a value. */
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -168,7 +168,7 @@
 	                                               fixture->node.leader_lease.fencing_token},
 	                      fl_now()),
 		0);
-	fl_job_task_block(fixture->job, 0)->saved_generation =
+	fl_job_task_block(fixture->job, 0)->parts[0].saved_generation =
 		fl_job_task_block(fixture->job, 0)->generation;
 	return fl_task_find(fixture->job, index);
 }
--- a/tests/reconciliation_sim.c
+++ b/tests/reconciliation_sim.c
@@ -143,7 +143,7 @@
 static bool add_wal_group(struct simulation *sim, struct fl_job *job, cJSON *value)
 {
 	struct fl_task_block *block;
-	char *group = fl_wal_group_encode(&sim->node.cluster, job, 0);
+	char *group = fl_wal_group_encode(&sim->node.cluster, job, 0, FL_WHOLE_BLOCK);
 
 	if (!group)
 		return false;
@@ -183,9 +183,9 @@
 	if (!block)
 		return;
 	free(sim->records[index]);
-	sim->records[index] =
-		fl_json_print_and_delete(fl_task_block_encode(&sim->node.cluster, job, 0));
-	block->saved_generation = block->generation;
+	sim->records[index] = fl_json_print_and_delete(
+		fl_task_block_encode(&sim->node.cluster, job, 0, FL_WHOLE_BLOCK));
+	block->parts[0].saved_generation = block->generation;
 }
 
 void save_some_records(struct simulation *sim)
--- a/tests/test_cluster_state.c
+++ b/tests/test_cluster_state.c
@@ -157,7 +157,7 @@
 				0);
 			if (index + 1 < TASKS)
 				continue;
-			group = fl_wal_group_encode(&sim->node.cluster, job, 0);
+			group = fl_wal_group_encode(&sim->node.cluster, job, 0, FL_WHOLE_BLOCK);
 			assert_non_null(group);
 			bytes += strlen(group) + 1;
 			groups++;
--- a/tests/test_contract_job_records.c
+++ b/tests/test_contract_job_records.c
@@ -195,8 +195,8 @@
 
 static void every_key_and_prefix_has_its_stored_form(void **state)
 {
-	char key[FL_KEY_MAX], ref[FL_REF_MAX];
-	uint32_t block_index;
+	struct fl_progress_key progress_key;
+	char key[FL_KEY_MAX];
 
 	(void)state;
 	assert_string_equal(FL_KEY_LEADER, "c/lead");
@@ -218,12 +218,33 @@
 	fl_key_finished(key, "run-000413");
 	assert_string_equal(key, "f/run-000413");
 
-	fl_key_progress(key, "run-000414", 17);
+	fl_key_progress(key, "run-000414", 17, 0);
 	assert_string_equal(key, "p/run-000414/17");
-	assert_int_equal(fl_key_progress_parse("p/run-000415/18", ref, &block_index), 0);
-	assert_string_equal(ref, "run-000415");
-	assert_int_equal(block_index, 18);
-	assert_int_not_equal(fl_key_progress_parse("j/run-000415/18", ref, &block_index), 0);
+	assert_int_equal(fl_key_progress_parse("p/run-000415/18", &progress_key), 0);
+	assert_string_equal(progress_key.ref, "run-000415");
+	assert_int_equal(progress_key.block_index, 18);
+	assert_int_equal(progress_key.part_index, 0);
+	assert_int_not_equal(fl_key_progress_parse("j/run-000415/18", &progress_key), 0);
+}
+
+/* The key of a part of a block names the part's first task; no other offsets are valid. */
+static void the_key_of_a_part_of_a_block_has_its_stored_form(void **state)
+{
+	static const char *const malformed[] = {"p/run-000415/18/",   "p/run-000415/18/0",
+	                                        "p/run-000415/18/64", "p/run-000415/18/12",
+	                                        "p/run-000415/18/8/", "p/run-000415/18/8x"};
+	struct fl_progress_key progress_key;
+	char key[FL_KEY_MAX];
+
+	(void)state;
+	fl_key_progress(key, "run-000414", 17, 4);
+	assert_string_equal(key, "p/run-000414/17/32");
+	assert_int_equal(fl_key_progress_parse("p/run-000415/18/56", &progress_key), 0);
+	assert_string_equal(progress_key.ref, "run-000415");
+	assert_int_equal(progress_key.block_index, 18);
+	assert_int_equal(progress_key.part_index, 7);
+	for (size_t i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++)
+		assert_int_not_equal(fl_key_progress_parse(malformed[i], &progress_key), 0);
 }
 
 int main(void)
@@ -236,6 +257,7 @@
 		cmocka_unit_test(a_job_in_memory_is_encoded_as_the_record_that_it_came_from),
 		cmocka_unit_test(machine_types_are_stored_with_every_field),
 		cmocka_unit_test(every_key_and_prefix_has_its_stored_form),
+		cmocka_unit_test(the_key_of_a_part_of_a_block_has_its_stored_form),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_contract_progress_records.c
+++ b/tests/test_contract_progress_records.c
@@ -34,13 +34,16 @@
 	                 0);
 	cJSON_Delete(tree);
 	assert_recorded_progress(&decoded, job);
-	assert_int_equal(job->blocks[1]->mod_revision, 6);
-	assert_json_text_and_delete(fl_task_block_encode(&decoded, job, 1), PROGRESS_RECORD);
+	assert_int_equal(job->blocks[1]->parts[0].mod_revision, 6);
+	assert_json_text_and_delete(fl_task_block_encode(&decoded, job, 1, FL_WHOLE_BLOCK),
+	                            PROGRESS_RECORD);
 
 	job = add_live_job(&built);
 	set_recorded_progress(&built, job);
-	assert_json_text_and_delete(fl_task_block_encode(&built, job, 1), PROGRESS_RECORD);
-	assert_json_text_and_delete(fl_task_block_encode_unsaved(&built, job, 1), PROGRESS_RECORD);
+	assert_json_text_and_delete(fl_task_block_encode(&built, job, 1, FL_WHOLE_BLOCK),
+	                            PROGRESS_RECORD);
+	assert_json_text_and_delete(fl_task_block_encode_unsaved(&built, job, 1, FL_WHOLE_BLOCK),
+	                            PROGRESS_RECORD);
 	fl_cluster_free(&decoded);
 	fl_cluster_free(&built);
 }
@@ -67,7 +70,7 @@
 	(void)state;
 	set_recorded_progress(&cluster, job);
 	for (uint32_t block_index = 1; block_index <= 2; block_index++) {
-		char *group = fl_wal_group_encode(&cluster, job, block_index);
+		char *group = fl_wal_group_encode(&cluster, job, block_index, FL_WHOLE_BLOCK);
 
 		assert_string_equal(group, expected[block_index]);
 		fl_wal_value_add_group(value, group);
--- a/tests/test_large_array.c
+++ b/tests/test_large_array.c
@@ -170,14 +170,15 @@
 	size_t log_bytes = 0;
 
 	for (uint32_t i = 0; i < site->job->block_count; i++) {
-		char *group = fl_wal_group_encode(cluster, site->job, i), *record;
+		char *group = fl_wal_group_encode(cluster, site->job, i, FL_WHOLE_BLOCK), *record;
 
 		if (!group)
 			continue;
 		groups++;
 		log_bytes += strlen(group);
 		free(group);
-		record = fl_json_print_and_delete(fl_task_block_encode(cluster, site->job, i));
+		record = fl_json_print_and_delete(
+			fl_task_block_encode(cluster, site->job, i, FL_WHOLE_BLOCK));
 		assert_true(strlen(record) < VALUE_MAX_BYTES);
 		free(record);
 	}
@@ -195,7 +196,8 @@
 	fill_machines(site);
 	for (uint32_t i = 0; i < FL_TASK_BLOCK_SIZE; i++)
 		fl_task_mark_done(cluster, site->job, i);
-	record = fl_json_print_and_delete(fl_task_block_encode(cluster, site->job, 0));
+	record = fl_json_print_and_delete(
+		fl_task_block_encode(cluster, site->job, 0, FL_WHOLE_BLOCK));
 	assert_true(strlen(record) <= 64);
 	free(record);
 }
--- a/tests/test_store_limits.c
+++ b/tests/test_store_limits.c
@@ -20,6 +20,7 @@
 #include "scripted_store.h"
 #include "storage/job_records.h"
 #include "storage/keys.h"
+#include "storage/progress_records.h"
 #include "transport/clock.h"
 #include "virtual_time_fixture.h"
 
@@ -33,6 +34,7 @@
 	struct fl_node node;
 	struct fl_config config;
 	bool writer_runs;
+	enum fl_failover_result failover_result;
 } scenario;
 
 static void run_for(double seconds) { sim_time_run(fl_now() + seconds); }
@@ -54,6 +56,21 @@
 	fl_record_write_budget_init(node);
 }
 
+/* Ends the leadership as fl_leadership_end does, without its other coroutines. */
+static void end_leadership(void)
+{
+	scenario.node.leadership.active = false;
+	fl_cluster_free_leader_state(&scenario.node.cluster);
+	fl_record_writer_reset(&scenario.node.record_writer);
+	fl_record_write_budget_init(&scenario.node);
+}
+
+static void load_cluster(void *argument)
+{
+	(void)argument;
+	scenario.failover_result = fl_failover_load_cluster(&scenario.node);
+}
+
 static void set_limits(const struct scripted_limits *limits) { scripted_store.limits = *limits; }
 
 static void configure(struct fl_config *config, const struct scripted_limits *announced)
@@ -266,6 +283,136 @@
 		expect_durable(jobs[i]);
 }
 
+/* ---- task blocks ---- */
+
+/* Loads the records as a new leader does; the cluster state is then that of the records. */
+static void fail_over(void)
+{
+	assert_non_null(sim_spawn(0, load_cluster, NULL));
+	run_for(5);
+	assert_int_equal(scenario.failover_result, FL_FAILOVER_LOADED);
+}
+
+static void expect_all_placed(const char *ref, uint32_t task_count)
+{
+	const struct fl_job *job = fl_job_find(&scenario.node.cluster, ref);
+
+	assert_non_null(job);
+	assert_int_equal(job->counts.placed, task_count);
+	for (uint32_t i = 0; i < task_count; i++)
+		assert_int_equal(fl_task_find(job, i)->attempt, 1);
+}
+
+/*
+ * Guards against a task block that is never stored: 64 placements took more bytes than a value may
+ * have since the limits were lowered. The parts into which the block is split must hold all of it,
+ * for the next leader, too.
+ */
+static void a_block_larger_than_a_value_is_stored_in_parts(void **state)
+{
+	struct fl_job *job = add_job(1, 64);
+
+	(void)state;
+	set_limits(&lowered_limits);
+	place_tasks(job, FL_NAME_MAX - 1);
+	write_records_for(5);
+	expect_refusals(1, 1);
+	assert_false(fl_block_is_unsaved(job->blocks[0]));
+	assert_in_range(count_keys("p/run-000001/"), 3, 4);
+	end_leadership();
+	fail_over();
+	expect_all_placed("run-000001", 64);
+}
+
+/*
+ * The same if the block was stored in one record before, by this leader or an earlier one. The old
+ * record stays readable, and is replaced only when the rest of the block is stored elsewhere.
+ */
+static void a_stored_block_is_split_when_it_changes(void **state)
+{
+	struct fl_job *job = add_job(1, 64);
+
+	(void)state;
+	place_tasks(job, 24);
+	write_records_for(5);
+	assert_int_equal(count_keys("p/run-000001/"), 1);
+	set_limits(&lowered_limits);
+	end_leadership();
+	fail_over();
+	job = fl_job_find(&scenario.node.cluster, "run-000001");
+	fl_task_mark_done(&scenario.node.cluster, job, 3);
+	scenario.node.leadership.active = true;
+	write_records_for(5);
+	expect_refusals(1, 1);
+	assert_in_range(count_keys("p/run-000001/"), 2, 4);
+	end_leadership();
+	fail_over();
+	job = fl_job_find(&scenario.node.cluster, "run-000001");
+	assert_int_equal(job->counts.placed, 63);
+	assert_int_equal(job->counts.done, 1);
+}
+
+/*
+ * The same if the leader ends after the second half of a block was stored, and before its first
+ * half was: the record with the whole block is then older than the one of the second half.
+ */
+static void the_newer_state_counts_between_the_writes_of_two_halves(void **state)
+{
+	struct fl_job *job = add_job(1, 64);
+	const struct fl_block_part *parts;
+	char key[FL_KEY_MAX];
+
+	(void)state;
+	place_tasks(job, 8);
+	write_records_for(5);
+	fl_task_mark_done(&scenario.node.cluster, job, 50);
+	assert_int_equal(fl_block_part_split(job->blocks[0], 0), 4);
+	fl_key_progress(key, "run-000001", 0, 4);
+	scripted_store_put(key, fl_task_block_encode(&scenario.node.cluster, job, 0,
+	                                             fl_block_part_range(job->blocks[0], 4)));
+	end_leadership();
+	fail_over();
+	job = fl_job_find(&scenario.node.cluster, "run-000001");
+	assert_int_equal(job->counts.placed, 63);
+	assert_int_equal(job->counts.done, 1);
+	parts = job->blocks[0]->parts;
+	assert_true(parts[4].is_split_off && !parts[4].must_rewrite);
+	/* Otherwise a follower that adds up the records would count 32 tasks twice. */
+	assert_true(parts[0].must_rewrite && job->record.is_dirty);
+}
+
+/* A part is deleted with its job, by the final write or later. */
+static void the_parts_of_a_block_are_deleted_with_their_job(void **state)
+{
+	struct fl_job *job = add_job(1, 64);
+
+	(void)state;
+	set_limits(&lowered_limits);
+	place_tasks(job, FL_NAME_MAX - 1);
+	write_records_for(5);
+	complete_tasks(job);
+	write_records_for(10);
+	expect_finished("run-000001");
+	assert_int_equal(count_keys("p/"), 0);
+}
+
+/* With the least limits that the settings allow, and the longest names. */
+static void a_block_is_stored_within_the_least_limits(void **state)
+{
+	const struct scripted_limits least = {FL_KV_VALUE_BYTES_MIN, FL_KV_TXN_OPERATIONS_MIN, 4};
+	struct fl_job *job = add_job(1, 64);
+
+	(void)state;
+	set_limits(&least);
+	place_tasks(job, FL_NAME_MAX - 1);
+	write_records_for(30);
+	expect_refusals(1, 3);
+	assert_false(fl_block_is_unsaved(job->blocks[0]));
+	end_leadership();
+	fail_over();
+	expect_all_placed("run-000001", 64);
+}
+
 /* ---- final records ---- */
 
 /*
@@ -321,6 +468,12 @@
 		cmocka_unit_test_setup_teardown(
 			placements_are_stored_after_limits_were_lowered_unannounced,
 			set_up_unannounced, tear_down),
+		LIMITS_TEST(a_block_larger_than_a_value_is_stored_in_parts),
+		LIMITS_TEST(a_stored_block_is_split_when_it_changes),
+		LIMITS_TEST(the_newer_state_counts_between_the_writes_of_two_halves),
+		LIMITS_TEST(the_parts_of_a_block_are_deleted_with_their_job),
+		cmocka_unit_test_setup_teardown(a_block_is_stored_within_the_least_limits,
+	                                        set_up_unannounced, tear_down),
 		LIMITS_TEST(a_job_of_many_blocks_is_finished_after_the_limits_were_lowered),
 		LIMITS_TEST(no_transaction_has_more_changes_than_the_rate_allows),
 	};
