Write-ahead log: the placements of a block may take several values

What users would see: after the limits were lowered, in a burst of large jobs, starts wait until one progress record after the other is written.

Change: a group that would leave more than a quarter of a value empty is split.

--- a/src/coordination/persistence/wal_writer.c
+++ b/src/coordination/persistence/wal_writer.c
@@ -11,9 +11,11 @@
 #include "transport/log.h"
 
 static const struct {
+	double max_unused_share;
 	size_t initial_capacity;
 } tunables = {
-	.initial_capacity = 64, /* blocks; doubled when a write needs more */
+	.max_unused_share = 0.25, /* of a value, left empty since the next group is larger */
+	.initial_capacity = 64,   /* blocks; doubled when a write needs more */
 };
 
 /* A block in the write, and the generation up to which its changes are included. */
@@ -65,33 +67,67 @@
 	write->value_bytes = 0;
 }
 
-/* Adds a block's unsaved changes, if any; false if they do not fit or memory is exhausted. */
-static bool add_block(struct wal_write *write, const struct fl_cluster *cluster, struct fl_job *job,
-                      uint32_t block_index)
+/* Adds an encoded group; false if it does not fit. */
+static bool add_group(struct wal_write *write, const char *group)
+{
+	size_t bytes = strlen(group) + 1;
+
+	if (write->value_bytes + bytes > write->value_limit)
+		finish_value(write);
+	if (bytes > write->value_limit ||
+	    (!write->value && write->value_count >= write->value_count_max))
+		return false;
+	if (!write->value)
+		write->value = fl_wal_value_create();
+	fl_wal_value_add_group(write->value, group);
+	write->value_bytes += bytes;
+	return true;
+}
+
+/* Returns whether a group of this size is to be split: it would leave much of a value empty. */
+static bool should_split(const struct wal_write *write, size_t bytes)
 {
-	char *group = fl_wal_group_encode(cluster, job, block_index, FL_WHOLE_BLOCK);
-	size_t bytes = group ? strlen(group) + 1 : 0;
+	return write->value_bytes + bytes > write->value_limit &&
+	       (double)bytes > (double)write->value_limit * tunables.max_unused_share;
+}
+
+/* Adds the unsaved changes of these tasks of a block in one group or several; false: no room. */
+static bool add_range(struct wal_write *write, const struct fl_cluster *cluster,
+                      const struct fl_job *job, uint32_t block_index, struct fl_task_range range)
+{
+	char *group = fl_wal_group_encode(cluster, job, block_index, range);
+	uint32_t middle = (range.first + range.end) / 2;
 	bool fits;
 
 	if (!group)
 		return true;
-	if (write->value_bytes + bytes > write->value_limit)
-		finish_value(write);
-	fits = bytes <= write->value_limit &&
-	       (write->value || write->value_count < write->value_count_max) &&
-	       reserve_block(write);
-	if (fits) {
-		if (!write->value)
-			write->value = fl_wal_value_create();
-		fl_wal_value_add_group(write->value, group);
-		write->value_bytes += bytes;
-		write->blocks[write->block_count++] = (struct logged_block){
-			job, block_index, fl_job_task_block(job, block_index)->generation};
+	if (middle > range.first && should_split(write, strlen(group) + 1)) {
+		free(group);
+		return add_range(write, cluster, job, block_index,
+		                 (struct fl_task_range){range.first, middle}) &&
+		       add_range(write, cluster, job, block_index,
+		                 (struct fl_task_range){middle, range.end});
 	}
+	fits = add_group(write, group);
 	free(group);
 	return fits;
 }
 
+/* Adds a block's unsaved changes, if any; false if they do not fit or memory is exhausted. */
+static bool add_block(struct wal_write *write, const struct fl_cluster *cluster, struct fl_job *job,
+                      uint32_t block_index)
+{
+	const struct fl_task_block *block = fl_job_task_block(job, block_index);
+
+	if (!block || !fl_block_is_unsaved(block))
+		return true;
+	if (!add_range(write, cluster, job, block_index, FL_WHOLE_BLOCK) || !reserve_block(write))
+		return false;
+	write->blocks[write->block_count++] =
+		(struct logged_block){job, block_index, block->generation};
+	return true;
+}
+
 /* Adds all unsaved changes, filling value after value; returns false if they do not fit. */
 static bool add_unsaved_blocks(struct wal_write *write, const struct fl_cluster *cluster)
 {
--- a/tests/test_store_limits.c
+++ b/tests/test_store_limits.c
@@ -221,6 +221,26 @@
 	assert_int_equal(scripted_store.repeated_too_large_count, 0);
 }
 
+/* ---- failover ---- */
+
+/* Loads the records as a new leader does; the cluster state is then that of the records. */
+static void fail_over(void)
+{
+	assert_non_null(sim_spawn(0, load_cluster, NULL));
+	run_for(5);
+	assert_int_equal(scenario.failover_result, FL_FAILOVER_LOADED);
+}
+
+static void expect_all_placed(const char *ref, uint32_t task_count)
+{
+	const struct fl_job *job = fl_job_find(&scenario.node.cluster, ref);
+
+	assert_non_null(job);
+	assert_int_equal(job->counts.placed, task_count);
+	for (uint32_t i = 0; i < task_count; i++)
+		assert_int_equal(fl_task_find(job, i)->attempt, 1);
+}
+
 /* ---- the log ---- */
 
 /*
@@ -283,26 +303,34 @@
 		expect_durable(jobs[i]);
 }
 
-/* ---- task blocks ---- */
-
-/* Loads the records as a new leader does; the cluster state is then that of the records. */
-static void fail_over(void)
-{
-	assert_non_null(sim_spawn(0, load_cluster, NULL));
-	run_for(5);
-	assert_int_equal(scenario.failover_result, FL_FAILOVER_LOADED);
-}
-
-static void expect_all_placed(const char *ref, uint32_t task_count)
+/*
+ * Guards against starts that wait for one progress record after the other: the placements of one
+ * block took more bytes than a value, so nothing went into the log.
+ */
+static void the_log_holds_placements_of_a_block_in_several_values(void **state)
 {
-	const struct fl_job *job = fl_job_find(&scenario.node.cluster, ref);
+	static const char *const refs[] = {"run-000000", "run-000001", "run-000002"};
+	struct fl_job *jobs[3];
 
-	assert_non_null(job);
-	assert_int_equal(job->counts.placed, task_count);
-	for (uint32_t i = 0; i < task_count; i++)
-		assert_int_equal(fl_task_find(job, i)->attempt, 1);
+	(void)state;
+	set_limits(&lowered_limits);
+	for (int i = 0; i < 3; i++) {
+		jobs[i] = add_job(i, 64);
+		place_tasks(jobs[i], 9);
+	}
+	write_records_for(0.5);
+	expect_refusals(1, 1);
+	for (int i = 0; i < 3; i++)
+		expect_durable(jobs[i]);
+	assert_int_equal(count_keys("w/"), lowered_limits.operations);
+	end_leadership();
+	fail_over();
+	for (int i = 0; i < 3; i++)
+		expect_all_placed(refs[i], 64);
 }
 
+/* ---- task blocks ---- */
+
 /*
  * Guards against a task block that is never stored: 64 placements took more bytes than a value may
  * have since the limits were lowered. The parts into which the block is split must hold all of it,
@@ -468,6 +496,7 @@
 		cmocka_unit_test_setup_teardown(
 			placements_are_stored_after_limits_were_lowered_unannounced,
 			set_up_unannounced, tear_down),
+		LIMITS_TEST(the_log_holds_placements_of_a_block_in_several_values),
 		LIMITS_TEST(a_block_larger_than_a_value_is_stored_in_parts),
 		LIMITS_TEST(a_stored_block_is_split_when_it_changes),
 		LIMITS_TEST(the_newer_state_counts_between_the_writes_of_two_halves),
