Cancellations: the record of a cancelled job fits into a value after the limits were lowered

What users would see: a job whose live record was stored when the store took larger values cannot be cancelled after the limits were lowered: each try gets 503, and its tasks run on.

Change: if the record would be larger than a value, the machine types and the zone are left out, of which a job that starts no more tasks has no use; the rest takes less than 1 KiB with the longest names. A write that is refused as too large is repeated once, in that form.

Test: a_job_with_a_large_record_is_cancelled_after_the_limits_were_lowered fails before with 503.

--- a/src/coordination/api/cancellation.c
+++ b/src/coordination/api/cancellation.c
@@ -1,5 +1,8 @@
 #include "coordination/api/cancellation.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 #include "coordination/api/status_from_leader.h"
 #include "coordination/api/job_status_response.h"
 #include "coordination/node.h"
@@ -50,20 +53,43 @@
 	return job;
 }
 
+/*
+ * Returns the cancelled record as text, which the caller frees. It keeps the job's description, of
+ * which a job that starts no more tasks does not need the machine types and the zone: they are left
+ * out if the record would be larger than a value, since it may be larger than the live record, and
+ * the store may have taken larger values when that was stored.
+ */
+static char *encode_cancelled_record(const struct fl_node *node, const struct fl_job *job,
+                                     double cancelled_wall)
+{
+	struct fl_job_spec spec;
+	char *text;
+
+	fl_job_to_spec(&node->cluster, job, &spec);
+	text = fl_json_print_and_delete(
+		fl_job_record_encode_cancelled(&spec, job->submitted_wall, cancelled_wall));
+	if (!text || strlen(text) <= node->kv_store.limits.in_force.value_bytes)
+		return text;
+	free(text);
+	spec.machine_type_count = FL_ANY_MACHINE_TYPE;
+	spec.has_zone = false;
+	return fl_json_print_and_delete(
+		fl_job_record_encode_cancelled(&spec, job->submitted_wall, cancelled_wall));
+}
+
 /* Stores the cancelled record if this node is still the leader and the record is unchanged. */
 static enum fl_kv_result store_cancellation(struct fl_node *node, const struct fl_job *job,
                                             double cancelled_wall, uint64_t *revision)
 {
+	char *record = encode_cancelled_record(node, job, cancelled_wall), key[FL_KEY_MAX];
 	struct fl_job_record_txn txn;
-	struct fl_job_spec spec;
-	char key[FL_KEY_MAX];
 
+	if (!record)
+		return FL_KV_UNAVAILABLE; /* out of memory */
 	fl_key_job(key, job->ref);
-	fl_job_to_spec(&node->cluster, job, &spec);
 	fl_job_record_txn_begin(node, job, &txn);
-	fl_kv_txn_put(&txn.txn, key,
-	              fl_job_record_encode_cancelled(&spec, job->submitted_wall, cancelled_wall),
-	              0);
+	fl_kv_txn_put(&txn.txn, key, cJSON_CreateRaw(record), 0);
+	free(record);
 	return fl_job_record_txn_commit(node, &txn, revision);
 }
 
@@ -97,6 +123,10 @@
 
 	fl_copy_string(ref, sizeof(ref), job->ref);
 	result = store_cancellation(node, job, cancelled_wall, &revision);
+	job = fl_is_leader(node) ? fl_job_find(&node->cluster, ref) : NULL;
+	/* The limits are lower now, so the record is built in its smallest form. */
+	if (result == FL_KV_TOO_LARGE && job)
+		result = store_cancellation(node, job, cancelled_wall, &revision);
 	apply_write_result(node, ref, result, cancelled_wall, revision);
 	return result;
 }
--- a/tests/test_store_limits.c
+++ b/tests/test_store_limits.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "coordination/api/cancellation.h"
 #include "coordination/leadership/failover.h"
 #include "coordination/node.h"
 #include "coordination/persistence/record_txn.h"
@@ -465,6 +466,73 @@
 	assert_int_equal(count_keys("p/"), 0);
 }
 
+/* ---- cancellations ---- */
+
+/* Adds a job whose record has all names of the longest kind: more than 1.5 KiB. */
+static struct fl_job *add_job_with_long_names(void)
+{
+	struct fl_cloud_machine_type types[FL_ALLOWED_TYPES_MAX] = {0};
+	struct fl_node *node = &scenario.node;
+	struct fl_job_spec spec = {.ref = "run-000001",
+	                           .team = "t",
+	                           .kind = FL_SERVICE,
+	                           .task_count = 2,
+	                           .cpus = 1,
+	                           .ram_gb = 1,
+	                           .has_zone = true,
+	                           .due_s = -1,
+	                           .machine_type_count = FL_ALLOWED_TYPES_MAX};
+	char key[FL_KEY_MAX];
+	uint64_t revision;
+
+	memset(spec.job_class, 'c', FL_NAME_MAX - 1);
+	memset(spec.image, 'i', FL_NAME_MAX - 1);
+	memset(spec.zone, 'z', FL_NAME_MAX - 1);
+	fl_symbol_intern(&node->cluster.zones, spec.zone);
+	for (int i = 0; i < FL_ALLOWED_TYPES_MAX; i++) {
+		memset(types[i].name, 'a' + i, FL_NAME_MAX - 1);
+		strcpy(spec.machine_types[i], types[i].name);
+	}
+	fl_machine_types_set(&node->cluster.machines, &node->cluster.zones, types,
+	                     FL_ALLOWED_TYPES_MAX);
+	fl_key_job(key, spec.ref);
+	revision = scripted_store_put(key, fl_job_record_encode_live(&spec, fl_wall_time()));
+	return fl_job_add(&node->cluster, &spec, fl_wall_time(), revision);
+}
+
+static void cancel_job(void *argument)
+{
+	fl_leader_cancel_job(&scenario.node, "run-000001", argument);
+}
+
+/*
+ * Guards against a job that cannot be cancelled any more: the record of a cancelled job keeps the
+ * job's description, which was stored when the store took larger values.
+ */
+static void a_job_with_a_large_record_is_cancelled_after_the_limits_were_lowered(void **state)
+{
+	const struct scripted_limits least = {FL_KV_VALUE_BYTES_MIN, FL_KV_TXN_OPERATIONS_MIN, 18};
+	struct fl_http_response response = {0};
+	struct fl_job *job = add_job_with_long_names();
+
+	(void)state;
+	place_tasks(job, 8);
+	write_records_for(5);
+	set_limits(&least);
+	assert_non_null(sim_spawn(0, cancel_job, &response));
+	run_for(1);
+	assert_int_equal(response.status, 200);
+	assert_non_null(strstr(response.body, "aborted"));
+	free(response.body);
+	expect_refusals(1, 1);
+
+	/* The next leader counts and stops the tasks. */
+	end_leadership();
+	fail_over();
+	expect_all_placed("run-000001", 2);
+	assert_true(fl_job_find(&scenario.node.cluster, "run-000001")->cancelled);
+}
+
 /* ---- rate ---- */
 
 /* Guards against a transaction with more changes than the rate allows in a second: refused each
@@ -504,6 +572,9 @@
 		cmocka_unit_test_setup_teardown(a_block_is_stored_within_the_least_limits,
 	                                        set_up_unannounced, tear_down),
 		LIMITS_TEST(a_job_of_many_blocks_is_finished_after_the_limits_were_lowered),
+		cmocka_unit_test_setup_teardown(
+			a_job_with_a_large_record_is_cancelled_after_the_limits_were_lowered,
+			set_up_unannounced, tear_down),
 		LIMITS_TEST(no_transaction_has_more_changes_than_the_rate_allows),
 	};
 
