Digests: the heartbeats of a refused digest are written again

What users would see: machines considered lost, and their tasks started again elsewhere, although a follower renews their leases. When the store refused a digest (400 after its limits were lowered, 429, 503), its cached heartbeats stayed marked as written, and only a newer heartbeat of each worker went into a digest again.

Change: the heartbeats of a refused digest are released for the next one, which is built within the limits then in force. A refused write is never executed, so nothing is written twice.

--- a/src/coordination/follower/follower.h
+++ b/src/coordination/follower/follower.h
@@ -24,6 +24,7 @@
 	int redirect_round_robin; /* counter that selects the peer of the next redirect */
 	struct fl_digest_slot digest_slots[FL_DIGESTS_MAX];
 	struct fl_token_bucket digest_write_budget;
+	uint64_t digest_count; /* digests built so far; the newest one has this number */
 	struct fl_fencing_token_refresh fencing_token_refresh;
 	struct fl_batch_queue heartbeat_batches; /* heartbeats being forwarded to the leader */
 };
--- a/src/coordination/follower/heartbeat_digest.c
+++ b/src/coordination/follower/heartbeat_digest.c
@@ -53,7 +53,7 @@
 	cached->in_digest = false;
 }
 
-static void drop_cached_heartbeat(struct fl_follower *follower, struct fl_cached_heartbeat *cached)
+void fl_cached_heartbeat_drop(struct fl_follower *follower, struct fl_cached_heartbeat *cached)
 {
 	HASH_DEL(follower->cached_heartbeats, cached);
 	free(cached->digest_entry);
@@ -110,6 +110,7 @@
  */
 static cJSON *build_digest(struct fl_node *node, double since)
 {
+	uint64_t number = ++node->follower.digest_count;
 	size_t limit = fl_kv_limits_fill_bytes(&node->kv_store.limits), used = 0;
 	struct fl_cached_heartbeat *cached, *tmp;
 	cJSON *digest = NULL;
@@ -126,6 +127,7 @@
 		fl_digest_add_heartbeat(digest, cached->digest_entry);
 		used += len;
 		cached->in_digest = true;
+		cached->digest_number = number;
 		/* Moved to the end, so that a small write budget is shared by all machines. */
 		HASH_DEL(node->follower.cached_heartbeats, cached);
 		HASH_ADD_STR(node->follower.cached_heartbeats, host, cached);
@@ -133,6 +135,16 @@
 	return digest;
 }
 
+/* Lets the next digest have the heartbeats of one whose write was refused, in a smaller form. */
+static void release_heartbeats(struct fl_follower *follower, uint64_t digest_number)
+{
+	struct fl_cached_heartbeat *cached;
+
+	for (cached = follower->cached_heartbeats; cached; cached = cached->hh.next)
+		if (cached->digest_number == digest_number)
+			cached->in_digest = false;
+}
+
 /*
  * The leader must not consider a machine lost whose lease is renewed by this node and whose
  * heartbeats do not reach the leader. These heartbeats are passed on through the key-value store,
@@ -142,12 +154,20 @@
 static void write_digests(struct fl_node *node, double since)
 {
 	for (int i = 0; i < FL_DIGESTS_MAX; i++) {
+		enum fl_kv_result result;
+		uint64_t number;
 		cJSON *digest;
 
 		if (fl_token_bucket_take(&node->follower.digest_write_budget, 1, fl_now()) > 0)
 			return;
 		digest = build_digest(node, since);
-		if (!digest || write_digest(node, i, digest) != FL_KV_OK)
+		if (!digest)
+			return;
+		number = node->follower.digest_count;
+		result = write_digest(node, i, digest);
+		if (fl_kv_write_was_refused(result))
+			release_heartbeats(&node->follower, number);
+		if (result != FL_KV_OK)
 			return;
 	}
 }
@@ -171,7 +191,7 @@
 
 	HASH_ITER (hh, node->follower.cached_heartbeats, cached, tmp)
 		if (cached->cached_at < now - tunables.max_cached_age_intervals * interval_s)
-			drop_cached_heartbeat(&node->follower, cached);
+			fl_cached_heartbeat_drop(&node->follower, cached);
 	if (!node->follower.cached_heartbeats || fl_leader_lease_is_valid(&node->leader_lease) ||
 	    !node->leader_view.leader[0] || fl_kv_is_unavailable(&node->kv_store))
 		return;
--- a/src/coordination/follower/heartbeat_digest.h
+++ b/src/coordination/follower/heartbeat_digest.h
@@ -13,6 +13,7 @@
 
 #include "protocol/workers.h"
 
+struct fl_follower;
 struct fl_node;
 
 /* The newest heartbeat of one worker; owned by struct fl_follower. */
@@ -22,7 +23,8 @@
 	uint64_t incarnation, sequence;
 	char *digest_entry; /* owned; the encoded heartbeat */
 	double cached_at;
-	bool in_digest; /* already added to a digest */
+	bool in_digest; /* already added to a digest, whose write has not been refused */
+	uint64_t digest_number; /* number of that digest; valid if `in_digest` */
 };
 
 /* Maximum number of digest records of a node: for 4,000 machines, 40 to a value of 4 KiB. */
@@ -36,6 +38,8 @@
 
 /* Initialises the rate limit of digest writes, which take place every `interval_s` seconds. */
 void fl_heartbeat_digest_init(struct fl_node *node, double interval_s);
+/* Removes a heartbeat from the cache and frees it. */
+void fl_cached_heartbeat_drop(struct fl_follower *follower, struct fl_cached_heartbeat *cached);
 /* Caches a heartbeat for the next digest, unless this or a newer one of its worker is cached. */
 void fl_heartbeat_cache(struct fl_node *node, const struct fl_heartbeat *heartbeat);
 /*
--- a/tests/contract_store_fixture.c
+++ b/tests/contract_store_fixture.c
@@ -155,11 +155,8 @@
 
 	(void)state;
 	virtual_time_end();
-	HASH_ITER (hh, store_fixture.node.follower.cached_heartbeats, cached, next) {
-		HASH_DEL(store_fixture.node.follower.cached_heartbeats, cached);
-		free(cached->digest_entry);
-		free(cached);
-	}
+	HASH_ITER (hh, store_fixture.node.follower.cached_heartbeats, cached, next)
+		fl_cached_heartbeat_drop(&store_fixture.node.follower, cached);
 	fl_cluster_free(&store_fixture.node.cluster);
 	return 0;
 }
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -74,11 +74,8 @@
 	struct node_fixture *fixture = *state;
 	struct fl_cached_heartbeat *cached, *next;
 
-	HASH_ITER (hh, fixture->node.follower.cached_heartbeats, cached, next) {
-		HASH_DEL(fixture->node.follower.cached_heartbeats, cached);
-		free(cached->digest_entry);
-		free(cached);
-	}
+	HASH_ITER (hh, fixture->node.follower.cached_heartbeats, cached, next)
+		fl_cached_heartbeat_drop(&fixture->node.follower, cached);
 	while (fixture->node.follower.misplaced_workers) {
 		struct fl_misplaced_worker *worker = fixture->node.follower.misplaced_workers;
 
--- a/tests/sim_nodes.c
+++ b/tests/sim_nodes.c
@@ -153,11 +153,8 @@
 	struct fl_cached_heartbeat *cached, *tmp;
 	struct fl_misplaced_worker *worker, *next;
 
-	HASH_ITER (hh, follower->cached_heartbeats, cached, tmp) {
-		HASH_DEL(follower->cached_heartbeats, cached);
-		free(cached->digest_entry);
-		free(cached);
-	}
+	HASH_ITER (hh, follower->cached_heartbeats, cached, tmp)
+		fl_cached_heartbeat_drop(follower, cached);
 	HASH_ITER (hh, follower->misplaced_workers, worker, next) {
 		HASH_DEL(follower->misplaced_workers, worker);
 		free(worker);
