Digests: a heartbeat with more tasks than fit into a value shows that its machine is up

What users would see: a machine with many small tasks is returned as silent and its tasks start again elsewhere, although a follower renews its lease.

Change: such a heartbeat goes into a digest without its tasks (null in their place). The leader records the contact and draws no conclusion about any attempt: the absence of a task from such an entry proves nothing.

Test: a_heartbeat_larger_than_a_value_is_written_without_its_tasks fails before (no digest has the machine); a_heartbeat_without_tasks_shows_only_that_the_machine_is_up covers the leader.

--- a/src/coordination/follower/heartbeat_digest.c
+++ b/src/coordination/follower/heartbeat_digest.c
@@ -21,42 +21,51 @@
 	.max_written_age_intervals = 2, /* digest intervals until a heartbeat is too old to write */
 };
 
+/* Returns the cached heartbeat of the machine, which is added if necessary; NULL: out of memory. */
+static struct fl_cached_heartbeat *find_or_add(struct fl_follower *follower, const char *host)
+{
+	struct fl_cached_heartbeat *cached;
+
+	HASH_FIND_STR(follower->cached_heartbeats, host, cached);
+	if (cached)
+		return cached;
+	cached = calloc(1, sizeof(*cached));
+	if (!cached)
+		return NULL;
+	fl_copy_string(cached->host, sizeof(cached->host), host);
+	HASH_ADD_STR(follower->cached_heartbeats, host, cached);
+	return cached;
+}
+
 /*
  * A duplicate of a heartbeat may arrive long after the original, also when a newer one is cached.
  * It does not show that the worker is alive now, and so replaces nothing.
  */
 void fl_heartbeat_cache(struct fl_node *node, const struct fl_heartbeat *heartbeat)
 {
-	struct fl_cached_heartbeat *cached;
-	char *text;
+	struct fl_cached_heartbeat *cached = find_or_add(&node->follower, heartbeat->host);
 
-	HASH_FIND_STR(node->follower.cached_heartbeats, heartbeat->host, cached);
-	if (cached && !fl_heartbeat_is_newer_than(heartbeat, cached->incarnation, cached->sequence))
+	if (!cached ||
+	    (cached->digest_entry &&
+	     !fl_heartbeat_is_newer_than(heartbeat, cached->incarnation, cached->sequence)))
 		return;
-	text = fl_cached_heartbeat_encode(heartbeat);
-	if (!text)
-		return;
-	if (!cached) {
-		cached = calloc(1, sizeof(*cached));
-		if (!cached) {
-			free(text);
-			return;
-		}
-		fl_copy_string(cached->host, sizeof(cached->host), heartbeat->host);
-		HASH_ADD_STR(node->follower.cached_heartbeats, host, cached);
-	}
 	free(cached->digest_entry);
-	cached->digest_entry = text;
+	free(cached->short_digest_entry);
+	cached->digest_entry = fl_cached_heartbeat_encode(heartbeat);
+	cached->short_digest_entry = fl_cached_heartbeat_encode_without_tasks(heartbeat);
 	cached->incarnation = heartbeat->incarnation;
 	cached->sequence = heartbeat->sequence;
 	cached->cached_at = fl_now();
 	cached->in_digest = false;
+	if (!cached->digest_entry || !cached->short_digest_entry)
+		fl_cached_heartbeat_drop(&node->follower, cached); /* out of memory */
 }
 
 void fl_cached_heartbeat_drop(struct fl_follower *follower, struct fl_cached_heartbeat *cached)
 {
 	HASH_DEL(follower->cached_heartbeats, cached);
 	free(cached->digest_entry);
+	free(cached->short_digest_entry);
 	free(cached);
 }
 
@@ -116,15 +125,20 @@
 	cJSON *digest = NULL;
 
 	HASH_ITER (hh, node->follower.cached_heartbeats, cached, tmp) {
-		size_t len = strlen(cached->digest_entry) + 1;
+		const char *entry = cached->digest_entry;
+		size_t len = strlen(entry) + 1;
 
-		if (cached->in_digest || cached->cached_at < since || len > limit)
+		if (cached->in_digest || cached->cached_at < since)
 			continue;
+		if (len > limit) {
+			entry = cached->short_digest_entry;
+			len = strlen(entry) + 1;
+		}
 		if (used + len > limit)
 			break;
 		if (!digest)
 			digest = fl_digest_create(node->leader_view.fencing_token);
-		fl_digest_add_heartbeat(digest, cached->digest_entry);
+		fl_digest_add_heartbeat(digest, entry);
 		used += len;
 		cached->in_digest = true;
 		cached->digest_number = number;
--- a/src/coordination/follower/heartbeat_digest.h
+++ b/src/coordination/follower/heartbeat_digest.h
@@ -22,6 +22,8 @@
 	char host[FL_NAME_MAX];
 	uint64_t incarnation, sequence;
 	char *digest_entry; /* owned; the encoded heartbeat */
+	/* Owned; the same without tasks, used if the other is larger than a value may be. */
+	char *short_digest_entry;
 	double cached_at;
 	bool in_digest; /* already added to a digest, whose write has not been refused */
 	uint64_t digest_number; /* number of that digest; valid if `in_digest` */
--- a/src/coordination/workers/reconciliation.c
+++ b/src/coordination/workers/reconciliation.c
@@ -40,6 +40,9 @@
 		break;
 	}
 	fl_reconcile_record_contact(context);
+	/* The absence of a task from such a heartbeat proves nothing. */
+	if (heartbeat->tasks_omitted)
+		return;
 	for (int i = 0; i < heartbeat->task_count; i++)
 		fl_reconcile_reported_attempt(context, &heartbeat->tasks[i]);
 	kind = fl_reconcile_unreported_attempts(context);
--- a/src/protocol/heartbeat_digests.c
+++ b/src/protocol/heartbeat_digests.c
@@ -19,22 +19,35 @@
 /*
  * Format: [host,incarnation,sequence,fencing token,interruption_in_s,
  *          [[ref,index,attempt,state,exit reason],...]]; the exit reason only of an exited task.
+ * With null in place of the tasks, nothing is known of them; earlier versions skip such an entry.
  */
-char *fl_cached_heartbeat_encode(const struct fl_heartbeat *heartbeat)
+static char *encode_heartbeat(const struct fl_heartbeat *heartbeat, cJSON *tasks)
 {
-	cJSON *item = cJSON_CreateArray(), *tasks = cJSON_CreateArray();
+	cJSON *item = cJSON_CreateArray();
 
 	cJSON_AddItemToArray(item, cJSON_CreateString(heartbeat->host));
 	cJSON_AddItemToArray(item, cJSON_CreateNumber((double)heartbeat->incarnation));
 	cJSON_AddItemToArray(item, cJSON_CreateNumber((double)heartbeat->sequence));
 	cJSON_AddItemToArray(item, cJSON_CreateNumber((double)heartbeat->fencing_token));
 	cJSON_AddItemToArray(item, cJSON_CreateNumber(heartbeat->interruption_in_s));
-	for (int i = 0; i < heartbeat->task_count; i++)
-		cJSON_AddItemToArray(tasks, encode_task(&heartbeat->tasks[i]));
 	cJSON_AddItemToArray(item, tasks);
 	return fl_json_print_and_delete(item);
 }
 
+char *fl_cached_heartbeat_encode(const struct fl_heartbeat *heartbeat)
+{
+	cJSON *tasks = cJSON_CreateArray();
+
+	for (int i = 0; i < heartbeat->task_count; i++)
+		cJSON_AddItemToArray(tasks, encode_task(&heartbeat->tasks[i]));
+	return encode_heartbeat(heartbeat, tasks);
+}
+
+char *fl_cached_heartbeat_encode_without_tasks(const struct fl_heartbeat *heartbeat)
+{
+	return encode_heartbeat(heartbeat, cJSON_CreateNull());
+}
+
 static enum fl_decode_result decode_task(const cJSON *entry, struct fl_task_status *status)
 {
 	uint64_t index, attempt, state, reason = FL_EXIT_OTHER;
@@ -56,7 +69,8 @@
 {
 	const cJSON *entry;
 
-	if (!cJSON_IsArray(tasks))
+	out->tasks_omitted = cJSON_IsNull(tasks);
+	if (!cJSON_IsArray(tasks) && !out->tasks_omitted)
 		return FL_DECODE_MALFORMED;
 	out->tasks = calloc((size_t)cJSON_GetArraySize(tasks) + 1, sizeof(*out->tasks));
 	if (!out->tasks)
--- a/src/protocol/workers.h
+++ b/src/protocol/workers.h
@@ -48,6 +48,8 @@
 	double interruption_in_s; /* time until the cloud reclaims the machine; < 0: no notice */
 	struct fl_task_status *tasks; /* owned; see fl_heartbeat_free */
 	int task_count;
+	/* The message says nothing of the tasks on the machine: only of a cached heartbeat. */
+	bool tasks_omitted;
 	/* Index of the node that the heartbeat was sent to; 0: unknown. Not in the message. */
 	int entry_node_index;
 };
--- a/tests/test_heartbeat_digest.c
+++ b/tests/test_heartbeat_digest.c
@@ -147,11 +147,37 @@
 	}
 }
 
+/*
+ * Guards against the same for a machine with more tasks than a value has room for, whose heartbeat
+ * was in no digest: the leader learns at least that the machine is up.
+ */
+static void a_heartbeat_larger_than_a_value_is_written_without_its_tasks(void **state)
+{
+	struct fl_heartbeat heartbeat;
+
+	(void)state;
+	scripted_store.limits.value_bytes = 4 * 1024;
+	cache_heartbeat(1, TASKS_MAX);
+	cache_heartbeat(2, 40);
+	run_digest_writes();
+	assert_true(find_stored_heartbeat(1, &heartbeat));
+	assert_true(heartbeat.tasks_omitted);
+	assert_int_equal(heartbeat.task_count, 0);
+	assert_true(heartbeat.incarnation == 1 && heartbeat.sequence == 5);
+	assert_true(heartbeat.fencing_token == 7 && heartbeat.interruption_in_s == -1);
+	fl_heartbeat_free(&heartbeat);
+	assert_true(find_stored_heartbeat(2, &heartbeat));
+	assert_false(heartbeat.tasks_omitted);
+	assert_int_equal(heartbeat.task_count, 40);
+	fl_heartbeat_free(&heartbeat);
+}
+
 int main(void)
 {
 #define DIGEST_TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 		DIGEST_TEST(the_heartbeats_of_a_refused_digest_are_written_in_smaller_ones),
+		DIGEST_TEST(a_heartbeat_larger_than_a_value_is_written_without_its_tasks),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_reconcile_results.c
+++ b/tests/test_reconcile_results.c
@@ -62,12 +62,38 @@
 	assert_false(fl_heartbeat_is_newer_than(&heartbeat, 5, 1));
 }
 
+/*
+ * A digest entry without tasks shows that the machine is up, and nothing of its tasks: they neither
+ * count as gone nor is the heartbeat applied twice.
+ */
+static void a_heartbeat_without_tasks_shows_only_that_the_machine_is_up(void **state)
+{
+	struct node_fixture *fixture = *state;
+	struct fl_heartbeat heartbeat = make_heartbeat(1, 9, FENCING_TOKEN, NULL, 0);
+	struct fl_task *task;
+
+	assert_int_equal(deliver_idle_heartbeat(fixture, 1, 1), 0);
+	task = place_task(fixture, 0);
+	heartbeat.tasks_omitted = true;
+	deliver_heartbeat(fixture, heartbeat, FL_HEARTBEAT_FROM_DIGEST);
+	assert_int_equal(only_machine(fixture)->heartbeat.sequence, 9);
+	assert_int_equal(task->phase, FL_TASK_PLACED);
+
+	/* A new incarnation: the attempt of the earlier one is gone, once a heartbeat says so. */
+	heartbeat.incarnation = 2;
+	deliver_heartbeat(fixture, heartbeat, FL_HEARTBEAT_FROM_DIGEST);
+	assert_int_equal(task->phase, FL_TASK_PLACED);
+	deliver_idle_heartbeat(fixture, 2, 10);
+	assert_int_equal(task->phase, FL_TASK_WAITING);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		NODE_TEST(heartbeat_results_distinguish_why_a_heartbeat_was_not_applied),
 		NODE_TEST(ignored_heartbeats_are_not_rejected),
 		NODE_TEST(the_incarnation_takes_precedence_over_the_sequence_number),
+		NODE_TEST(a_heartbeat_without_tasks_shows_only_that_the_machine_is_up),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
