Simulation: the key-value store lowers its limits, alone and together with failovers

FAULT_KV_LIMITS_LOWERED: from its start on the store answers larger values and transactions with 400 and more changes with 429, announced in the settings or not. lowered_kv_limits plays it during bursts of jobs and cancellations, in some variants with the end of the leader before or after it, of all controllers, or with delayed writes; four sets of limits, down to the least that the settings allow. A transaction that was refused as too large and is sent again unchanged by the same node is a violation, as is one beyond the limits of the settings before they were lowered, as until now.

--- a/tests/fault_combinations_kv_store.c
+++ b/tests/fault_combinations_kv_store.c
@@ -184,6 +184,55 @@
 		inject_leader_down(start_s + sim_random_between(20, 45), 8);
 }
 
+/* Announces limits of the key-value store in the settings of all nodes. */
+static void announce_limits(const struct sim_kv_limits *limits)
+{
+	for (int i = 0; i < sim.node_count; i++) {
+		sim.config[i].next_value_kb = limits->value_kb;
+		sim.config[i].next_txn_ops = limits->txn_ops;
+		sim.config[i].next_state_write_rps = limits->write_rps;
+	}
+}
+
+/*
+ * The store lowers its limits, announced or not, during a burst of jobs and cancellations; in some
+ * variants the leader ends before or after that, all controllers restart, or writes are delayed.
+ */
+static void lowered_kv_limits(int variant)
+{
+	static const struct sim_kv_limits limits[] = {
+		{2, 4, 40}, {1, 2, 25}, {1, 16, 70}, {4, 3, 20}};
+	const struct sim_kv_limits *lowered = &limits[variant % 4];
+	double start_s = sim_random_between(20, 45);
+
+	if (variant % 3)
+		announce_limits(lowered);
+	SIM_INJECT(FAULT_KV_LIMITS_LOWERED, .start_s = start_s, .duration_s = 30,
+	           .kv_limits = *lowered);
+	SIM_INJECT(FAULT_SUBMISSION_BURST, .start_s = start_s - 2, .count = 8);
+	SIM_INJECT(FAULT_SUBMISSION_BURST, .start_s = start_s + 2, .count = 8);
+	inject_cancel_running(start_s + sim_random_between(1, 20), 4, 0);
+	switch (variant / 2 % 5) {
+	case 1:
+		inject_leader_down(start_s - sim_random_between(0, 1), 8);
+		break;
+	case 2:
+		inject_leader_down_within(start_s, 10, 8);
+		break;
+	case 3:
+		SIM_INJECT(FAULT_NODE_DOWN, .start_s = start_s + sim_random_between(0, 10),
+		           .duration_s = 5, .target = TARGET_ALL_NODES);
+		break;
+	case 4:
+		SIM_INJECT(FAULT_DELAYED_WRITES, .start_s = start_s, .duration_s = 40,
+		           .magnitude = 0.2);
+		inject_leader_down_within(start_s, 30, 8);
+		break;
+	default:
+		break;
+	}
+}
+
 static const struct combination combinations[] = {
 	{.name = "kv_refusal_then_outage",
          .seed_name = "gap",
@@ -222,6 +271,13 @@
          .first_variant = 0,
          .variant_count = 4,
          .protects = "renewal_rules.c: the cancellation watermark; cancellation.c"},
+	{.name = "lowered_kv_limits",
+         .seed_name = "lowered_kv_limits",
+         .inject_faults = lowered_kv_limits,
+         .first_variant = 0,
+         .variant_count = 10,
+         .protects =
+                 "kv_limits.c, block_parts.c: the size of each write within the limits in force"},
 	{.name = "lost_write_reply",
          .seed_name = "answer_lost",
          .inject_faults = lost_write_reply,
--- a/tests/fault_combinations_random.c
+++ b/tests/fault_combinations_random.c
@@ -73,7 +73,7 @@
 
 	inject_random_fault(first_kinds[variant % 9], start_s);
 	for (int i = 0; i < 1 + variant % 2; i++)
-		inject_random_fault((enum sim_fault_kind)sim_random_index(SIM_FAULT_KINDS),
+		inject_random_fault((enum sim_fault_kind)sim_random_index(SIM_DRAWN_FAULT_KINDS),
 		                    start_s);
 	if (sim_chance(0.5))
 		inject_leader_down_within(start_s, 12, sim_random_between(0.5, 20));
--- a/tests/sim_faults.c
+++ b/tests/sim_faults.c
@@ -185,7 +185,7 @@
 
 static void end_fault(struct sim_fault *fault)
 {
-	fault->active = false;
+	fault->active = fault->kind == FAULT_KV_LIMITS_LOWERED;
 	if (fault->kind == FAULT_NODE_DOWN)
 		set_nodes_down(fault, false);
 	if (fault->kind == FAULT_MACHINE_HANG || fault->kind == FAULT_CANCEL_RUNNING)
--- a/tests/sim_faults.h
+++ b/tests/sim_faults.h
@@ -36,7 +36,7 @@
 	FAULT_SUBMISSION_BURST, /* `count` submissions within 2 s */
 	/*
 	 * The order is fixed, since kinds are drawn by number: random_faults draws from those
-	 * above, random_timing_faults from all.
+	 * above, random_timing_faults from all up to SIM_DRAWN_FAULT_KINDS.
 	 */
 	FAULT_DELAYED_COMMANDS, /* a share of direct commands is executed late, without a reply */
 	FAULT_CONCURRENT_READS, /* users query all nodes within ms of a change of their job */
@@ -45,9 +45,20 @@
 	FAULT_SHARED_IMAGE_BANDWIDTH, /* concurrent image fetches share the machine's bandwidth */
 	FAULT_IRREGULAR_BOOTS,        /* a share of new machines is up early, late or never */
 	FAULT_STATUS_QUERY_STORM,     /* `magnitude` times as many status queries */
+	SIM_DRAWN_FAULT_KINDS,
+	/* The key-value store has `kv_limits` from the start of the fault on, also after its end.
+	 */
+	FAULT_KV_LIMITS_LOWERED = SIM_DRAWN_FAULT_KINDS,
 	SIM_FAULT_KINDS
 };
 
+/* Limits of the key-value store: transactions beyond them get 400, changes beyond the rate 429. */
+struct sim_kv_limits {
+	double value_kb;
+	int txn_ops;
+	double write_rps;
+};
+
 enum { SIM_FIRST_TIMING_FAULT = FAULT_DELAYED_COMMANDS };
 
 /* The target of a fault: a node, a zone, or one of these. */
@@ -66,6 +77,7 @@
 	bool delays_watches;
 	/* FAULT_DELAYED_HEARTBEATS: copies wait for the next leader, then go to every node. */
 	bool held_for_next_leader;
+	struct sim_kv_limits kv_limits; /* FAULT_KV_LIMITS_LOWERED */
 	bool active;
 	bool affects_machine[SIM_MACHINES]; /* chosen when the fault begins */
 };
--- a/tests/sim_kv_store.c
+++ b/tests/sim_kv_store.c
@@ -12,12 +12,15 @@
 #include "kv_model.h"
 #include "transport/clock.h"
 
-enum { REQUESTS_PER_S = 220, WRITES_PER_S = 70 };
+enum { REQUESTS_PER_S = 220 };
+static const struct sim_kv_limits initial_limits = {4, 16, 70};
 
 static struct {
 	struct kv_model model;
 	/* Token buckets, each of which holds the tokens of 1 s. */
 	double request_tokens, write_tokens, refilled_at;
+	/* The last transaction of each node that was too large, as JSON text; NULL: none. */
+	char *last_too_large[SIM_NODES];
 } store;
 
 static bool refuses_requests_from(struct sim_endpoint from)
@@ -73,25 +76,51 @@
 
 /* ---- limits ---- */
 
-/* Checks a transaction for sizes that the real store would refuse. */
-static void check_sizes(const cJSON *transaction)
+static const struct sim_kv_limits *current_limits(void)
+{
+	const struct sim_fault *lowered = sim_fault_active(FAULT_KV_LIMITS_LOWERED, -1);
+
+	return lowered ? &lowered->kv_limits : &initial_limits;
+}
+
+static size_t value_bytes(const cJSON *operation)
+{
+	char *value = cJSON_PrintUnformatted(fl_json_get(operation, "V"));
+	size_t bytes = value ? strlen(value) : 0;
+
+	free(value);
+	return bytes;
+}
+
+static bool is_too_large(const cJSON *transaction)
 {
-	const struct fl_config *config = &sim.config[0];
 	const cJSON *operations = fl_json_get(transaction, "Apply"), *operation;
-	int operation_count = cJSON_GetArraySize(operations);
-	int condition_count = cJSON_GetArraySize(fl_json_get(transaction, "When"));
-
-	if (operation_count > config->txn_ops || condition_count > 4 * config->txn_ops)
-		sim_violation("transaction_size",
-		              "transaction too large operations=%d conditions=%d", operation_count,
-		              condition_count);
-	cJSON_ArrayForEach (operation, operations) {
-		char *value = cJSON_PrintUnformatted(fl_json_get(operation, "V"));
-
-		if (value && (double)strlen(value) > config->value_kb * 1024)
-			sim_violation("value_size", "value too large bytes=%zu", strlen(value));
-		free(value);
-	}
+	const struct sim_kv_limits *limits = current_limits();
+
+	if (cJSON_GetArraySize(operations) > limits->txn_ops ||
+	    cJSON_GetArraySize(fl_json_get(transaction, "When")) > 4 * limits->txn_ops)
+		return true;
+	cJSON_ArrayForEach (operation, operations)
+		if ((double)value_bytes(operation) > limits->value_kb * 1024)
+			return true;
+	return false;
+}
+
+/*
+ * Checks a transaction that is refused as too large: it must not be sent at all while the limits
+ * are those of the settings, and not again unchanged after they were lowered.
+ */
+static void check_too_large(struct sim_endpoint from, const struct fl_http_request *request)
+{
+	char **last = &store.last_too_large[from.index];
+
+	if (current_limits() == &initial_limits)
+		sim_violation("transaction_size", "transaction too large node=%d", from.index);
+	else if (*last && strcmp(*last, request->body) == 0)
+		sim_violation("refused_write_repeated",
+		              "transaction sent again that was too large node=%d", from.index);
+	free(*last);
+	*last = strdup(request->body);
 }
 
 static double refilled_tokens(double left, double per_s)
@@ -106,7 +135,7 @@
 	double writes = cJSON_GetArraySize(fl_json_get(transaction, "Apply"));
 
 	store.request_tokens = refilled_tokens(store.request_tokens, REQUESTS_PER_S);
-	store.write_tokens = refilled_tokens(store.write_tokens, WRITES_PER_S);
+	store.write_tokens = refilled_tokens(store.write_tokens, current_limits()->write_rps);
 	store.refilled_at = fl_now();
 	if (store.request_tokens < 1 || store.write_tokens < writes)
 		return false;
@@ -170,7 +199,6 @@
                           struct fl_http_response *response)
 {
 	if (transaction) {
-		check_sizes(transaction);
 		kv_model_serve_transaction(&store.model, transaction, response);
 	} else if (strncmp(request->path, "/holds", 6) == 0) {
 		kv_model_serve_lease(&store.model, request, response);
@@ -213,7 +241,10 @@
 		transaction = fl_json_parse(request->body, request->body_len);
 		sim_require(transaction != NULL);
 	}
-	if (!take_tokens(transaction))
+	if (transaction && is_too_large(transaction)) {
+		check_too_large(from, request);
+		set_json_response(response, 400, NULL);
+	} else if (!take_tokens(transaction))
 		set_json_response(response, 429, NULL);
 	else if (strcmp(request->path, "/follow") == 0)
 		serve_watch(from, request->query, response);
@@ -255,7 +286,7 @@
 {
 	store.model.before_put = release_heartbeats_before_new_leader;
 	store.request_tokens = REQUESTS_PER_S;
-	store.write_tokens = WRITES_PER_S;
+	store.write_tokens = initial_limits.write_rps;
 	store.refilled_at = fl_now();
 	sim_spawn(0, run_leases, NULL);
 }
@@ -263,6 +294,8 @@
 void sim_kv_end(void)
 {
 	kv_model_free(&store.model);
+	for (int i = 0; i < SIM_NODES; i++)
+		free(store.last_too_large[i]);
 	memset(&store, 0, sizeof(store));
 }
 
