Machine types: their record takes several values if one would be too large

What users would see: controllers that start during an outage of the cloud are not ready until it is over. The record of the machine types was one value, larger than a value may be with about twenty types at 4 KiB and ten at 2 KiB, and the leader repeated the same write every 30 s.

Change: the types are distributed over m/kinds, m/kinds/1, ... All values of a write have the same set number, and the first one, which is written last, their number; a reader that finds values of two writes reads again. With one value, the record is as before. The refresh of the types has a file of its own.

--- a/src/coordination/autoscaling/autoscaler.c
+++ b/src/coordination/autoscaling/autoscaler.c
@@ -1,4 +1,4 @@
-/* The autoscaler's coroutine, the offered machine types, and the loss rate of spot machines. */
+/* The autoscaler's coroutine, and the loss rate of spot machines. */
 #include "coordination/autoscaling/autoscaler.h"
 
 #include <stdlib.h>
@@ -6,11 +6,10 @@
 
 #include "coordination/autoscaling/call_budget.h"
 #include "coordination/autoscaling/machine_list.h"
+#include "coordination/autoscaling/machine_type_refresh.h"
 #include "coordination/autoscaling/scale_in.h"
 #include "coordination/autoscaling/scale_out.h"
 #include "coordination/node.h"
-#include "coordination/persistence/record_txn.h"
-#include "storage/keys.h"
 #include "transport/clock.h"
 #include "transport/coroutine.h"
 #include "transport/log.h"
@@ -28,38 +27,6 @@
 	.burst_s = 2,                   /* calls that may be saved up, in seconds of the rate */
 };
 
-/*
- * Stores the machine types for controllers that start while the cloud is unavailable: see
- * machine_types.c.
- */
-static void store_machine_types(struct fl_node *node, const struct fl_cloud_machine_type *types,
-                                int count)
-{
-	struct fl_kv_txn txn;
-	uint64_t revision;
-
-	if (fl_token_bucket_take(fl_record_write_budget(node), 1, fl_now()) > 0)
-		return; /* task starts need the writes; the next refresh stores the types */
-	fl_kv_txn_init(&txn);
-	fl_kv_txn_expect_revision(&txn, FL_KEY_LEADER, node->leader_lease.leader_mod_revision);
-	fl_kv_txn_put(&txn, FL_KEY_MACHINE_TYPES, fl_machine_types_encode(types, count), 0);
-	if (fl_kv_txn_commit(&node->kv_store, &txn, &revision, NULL) != FL_KV_OK)
-		fl_debug("cloud", "machine types not stored; retried after the next refresh");
-}
-
-static void refresh_machine_types(struct fl_node *node)
-{
-	struct fl_cloud_machine_type *types;
-	int count;
-
-	if (fl_autoscaler_await_call_budget(node) != FL_CALL_ALLOWED ||
-	    fl_cloud_get_machine_types(&node->cloud, &types, &count) != FL_CLOUD_OK)
-		return;
-	fl_machine_types_set(&node->cluster.machines, &node->cluster.zones, types, count);
-	store_machine_types(node, types, count);
-	free(types);
-}
-
 double fl_autoscaler_spot_loss_rate(const struct fl_autoscaler *autoscaler)
 {
 	return autoscaler->spot_losses / (autoscaler->spot_machine_seconds + tunables.spot_prior_s);
@@ -112,7 +79,7 @@
 			fl_autoscaler_list_machines(node);
 		if (fl_now() > autoscaler->types_refreshed_at + tunables.types_interval_s) {
 			autoscaler->types_refreshed_at = fl_now();
-			refresh_machine_types(node);
+			fl_autoscaler_refresh_machine_types(node);
 		}
 	}
 }
--- a/src/coordination/follower/heartbeat_digest.h
+++ b/src/coordination/follower/heartbeat_digest.h
@@ -25,7 +25,7 @@
 	/* Owned; the same without tasks, used if the other is larger than a value may be. */
 	char *short_digest_entry;
 	double cached_at;
-	bool in_digest; /* already added to a digest, whose write has not been refused */
+	bool in_digest;         /* already added to a digest, whose write has not been refused */
 	uint64_t digest_number; /* number of that digest; valid if `in_digest` */
 };
 
--- a/src/coordination/machine_types.c
+++ b/src/coordination/machine_types.c
@@ -1,9 +1,10 @@
 #include "coordination/machine_types.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "coordination/node.h"
-#include "storage/keys.h"
+#include "storage/machine_type_records.h"
 #include "transport/log.h"
 
 static const struct {
@@ -12,17 +13,65 @@
 	.retry_s = 0.5, /* delay after a failed read */
 };
 
-/* Reads the types from the leader's record; the caller frees them. False: no readable record. */
-static bool read_recorded_types(struct fl_kv_store *store, struct fl_cloud_machine_type **types,
-                                int *count)
+/* The machine types that are being read from their record. */
+struct type_list {
+	struct fl_cloud_machine_type *types;
+	int count;
+};
+
+/* Appends types to the list; returns false if out of memory. */
+static bool append_types(struct type_list *list, const struct fl_cloud_machine_type *types,
+                         int count)
+{
+	struct fl_cloud_machine_type *all =
+		realloc(list->types, (size_t)(list->count + count) * sizeof(*all));
+
+	if (!all)
+		return false;
+	memcpy(all + list->count, types, (size_t)count * sizeof(*all));
+	list->types = all;
+	list->count += count;
+	return true;
+}
+
+/* Reads a value of the record and appends its types; false: there is none, or it is not valid. */
+static bool read_value(struct fl_kv_store *store, int index, struct type_list *list,
+                       struct fl_machine_types_set *set)
 {
+	struct fl_cloud_machine_type *types = NULL;
+	char key[FL_KEY_MAX];
 	cJSON *value = NULL;
 	uint64_t revision;
-	bool found = fl_kv_get(store, FL_KEY_MACHINE_TYPES, &value, &revision, NULL) == FL_KV_OK &&
-	             fl_machine_types_decode(value, types, count) == FL_DECODE_OK;
+	int count;
+	bool read;
 
+	fl_key_machine_types(key, index);
+	read = fl_kv_get(store, key, &value, &revision, NULL) == FL_KV_OK &&
+	       fl_machine_types_set_decode(value, set) == FL_DECODE_OK &&
+	       fl_machine_types_decode(value, &types, &count) == FL_DECODE_OK &&
+	       append_types(list, types, count);
+	free(types);
 	cJSON_Delete(value);
-	return found;
+	return read;
+}
+
+/* Reads the types from the leader's record; the caller frees them. False: no readable record. */
+static bool read_recorded_types(struct fl_kv_store *store, struct fl_cloud_machine_type **types,
+                                int *count)
+{
+	struct fl_machine_types_set first, set;
+	struct type_list list = {0};
+	bool read = read_value(store, 0, &list, &first);
+
+	for (int i = 1; read && i < first.value_count; i++)
+		read = read_value(store, i, &list, &set) && set.number == first.number;
+	if (!read) {
+		free(list.types);
+		return false;
+	}
+	*types = list.types;
+	*count = list.count;
+	return true;
 }
 
 /*
--- a/tests/scripted_store.c
+++ b/tests/scripted_store.c
@@ -156,6 +156,13 @@
 	static const char key[] = "/keys/", list[] = "/keys?", watch[] = "/follow?",
 			  lease[] = "/holds";
 
+	if (strcmp(path, "/machine_types") == 0) {
+		const char *types = scripted_store.cloud_response;
+
+		set_json_response(response, types ? 200 : 503,
+		                  types ? fl_json_parse(types, strlen(types)) : NULL);
+		return 0;
+	}
 	if (strcmp(path, "/multi") == 0)
 		return serve_write(body, timeout_s, response);
 	if (strncmp(path, watch, strlen(watch)) == 0)
--- a/tests/scripted_store.h
+++ b/tests/scripted_store.h
@@ -38,6 +38,7 @@
 	int repeated_too_large_count;
 	char *last_too_large; /* body; NULL: none */
 	struct scripted_write writes[SCRIPTED_WRITES_MAX];
+	char *cloud_response; /* to a request for the machine types; NULL: 503 */
 	int write_count;      /* writes received so far; with limits, those beyond the script are
 	                         answered */
 	cJSON *delayed_write; /* NULL: none, or executed */
--- a/tests/test_store_limits.c
+++ b/tests/test_store_limits.c
@@ -14,7 +14,9 @@
 #include <string.h>
 
 #include "coordination/api/cancellation.h"
+#include "coordination/autoscaling/machine_type_refresh.h"
 #include "coordination/leadership/failover.h"
+#include "coordination/machine_types.h"
 #include "coordination/node.h"
 #include "coordination/persistence/record_txn.h"
 #include "coordination/persistence/record_writer.h"
@@ -23,13 +25,14 @@
 #include "storage/keys.h"
 #include "storage/progress_records.h"
 #include "transport/clock.h"
+#include "transport/text.h"
 #include "virtual_time_fixture.h"
 
 enum { MACHINES = 200 };
 
 /* The limits at the start, and those that the store changes to. */
-static const struct scripted_limits first_limits = {4 * 1024, 8, 25};
-static const struct scripted_limits lowered_limits = {2 * 1024, 4, 18};
+static const struct scripted_limits first_limits = {4096, 8, 25};
+static const struct scripted_limits lowered_limits = {2048, 4, 18};
 
 static struct {
 	struct fl_node node;
@@ -172,6 +175,13 @@
 		fl_task_mark_done(&scenario.node.cluster, job, i);
 }
 
+static cJSON *parse(const char *text) { return fl_json_parse(text, strlen(text)); }
+
+/* A machine type in the cloud's format, with this name. */
+#define TYPE(name)                                                                                 \
+	"{\"Name\":\"" name "\",\"Vcpus\":8,\"Accelerators\":0,\"RamGb\":64,\"LocalGb\":10,"       \
+	"\"PullGbPerS\":1,\"Price\":1,\"SpotPrice\":1,\"ReadyS\":5,\"Sites\":[\"a\"]}"
+
 /* Starts the record writer, unless it runs, and lets it write for a while. */
 static void write_records_for(double seconds)
 {
@@ -491,7 +501,7 @@
 	fl_symbol_intern(&node->cluster.zones, spec.zone);
 	for (int i = 0; i < FL_ALLOWED_TYPES_MAX; i++) {
 		memset(types[i].name, 'a' + i, FL_NAME_MAX - 1);
-		strcpy(spec.machine_types[i], types[i].name);
+		fl_copy_string(spec.machine_types[i], FL_NAME_MAX, types[i].name);
 	}
 	fl_machine_types_set(&node->cluster.machines, &node->cluster.zones, types,
 	                     FL_ALLOWED_TYPES_MAX);
@@ -533,13 +543,86 @@
 	assert_true(fl_job_find(&scenario.node.cluster, "run-000001")->cancelled);
 }
 
+/* ---- machine types ---- */
+
+enum { TYPES = 24 };
+
+/* The cloud's response: types whose record takes several values. */
+static char *describe_types(void)
+{
+	struct fl_cloud_machine_type types[TYPES] = {0};
+
+	for (int i = 0; i < TYPES; i++) {
+		snprintf(types[i].name, FL_NAME_MAX, "type-with-a-long-name-%02d", i);
+		types[i].cpus = types[i].ram_gb = 8;
+		types[i].zone_count = 1;
+		strcpy(types[i].zones[0], "a");
+	}
+	return fl_json_print_and_delete(fl_machine_types_encode(types, TYPES));
+}
+
+static void refresh_types(void *argument)
+{
+	(void)argument;
+	for (int i = 0; i < 4; i++)
+		fl_autoscaler_refresh_machine_types(&scenario.node);
+}
+
+/*
+ * Guards against controllers that cannot start during an outage of the cloud: the record of many
+ * machine types was larger than a value, and the same write was refused every 30 s.
+ */
+static void many_machine_types_are_stored_in_several_values(void **state)
+{
+	struct fl_node *node = &scenario.node;
+
+	(void)state;
+	scenario.config.cloud_rps = 100;
+	fl_autoscaler_reset(node);
+	scripted_store.cloud_response = describe_types();
+	set_limits(&lowered_limits);
+	assert_non_null(sim_spawn(0, refresh_types, NULL));
+	run_for(10);
+	expect_refusals(1, 1);
+	assert_int_equal(count_keys("m/kinds"), 3);
+
+	/* A controller starts while the cloud is unavailable. */
+	free(scripted_store.cloud_response);
+	scripted_store.cloud_response = NULL;
+	node->cluster.machines.type_count = 0;
+	fl_machine_types_loader_start(node);
+	run_for(5);
+	assert_true(node->machine_types_loaded);
+	assert_int_equal(node->cluster.machines.type_count, TYPES);
+}
+
+/* A reader that finds values of two writes waits until they belong together. */
+static void values_of_two_sets_of_machine_types_are_not_mixed(void **state)
+{
+	struct fl_node *node = &scenario.node;
+
+	(void)state;
+	scripted_store_put("m/kinds",
+	                   parse("{\"HostKinds\":[" TYPE("g8") "],\"values\":2,\"set\":7}"));
+	scripted_store_put("m/kinds/1",
+	                   parse("{\"HostKinds\":[" TYPE("c4") "],\"values\":2,\"set\":6}"));
+	fl_machine_types_loader_start(node);
+	run_for(5);
+	assert_false(node->machine_types_loaded);
+	scripted_store_put("m/kinds/1",
+	                   parse("{\"HostKinds\":[" TYPE("c4") "],\"values\":2,\"set\":7}"));
+	run_for(5);
+	assert_true(node->machine_types_loaded);
+	assert_int_equal(node->cluster.machines.type_count, 2);
+}
+
 /* ---- rate ---- */
 
 /* Guards against a transaction with more changes than the rate allows in a second: refused each
  * time. */
 static void no_transaction_has_more_changes_than_the_rate_allows(void **state)
 {
-	const struct scripted_limits slow = {4 * 1024, 8, 4};
+	const struct scripted_limits slow = {4096, 8, 4};
 	struct fl_job *job = add_job(1, 600);
 
 	(void)state;
@@ -575,6 +658,8 @@
 		cmocka_unit_test_setup_teardown(
 			a_job_with_a_large_record_is_cancelled_after_the_limits_were_lowered,
 			set_up_unannounced, tear_down),
+		LIMITS_TEST(many_machine_types_are_stored_in_several_values),
+		LIMITS_TEST(values_of_two_sets_of_machine_types_are_not_mixed),
 		LIMITS_TEST(no_transaction_has_more_changes_than_the_rate_allows),
 	};
 
