--- a/tests/fake_kv_store.c
+++ b/tests/fake_kv_store.c
@@ -2,6 +2,7 @@
 #include "fake_services_internal.h"
 
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -59,12 +60,28 @@
 	kv_model_serve_list(&model, query, limit > 5 ? 5 : limit, response);
 }
 
+/* Counts a transaction that is refused as too large; it must not be sent again unchanged. */
+static void count_too_large(const char *body)
+{
+	static char last[65536];
+
+	fake_services.kv_too_large++;
+	fake_services.kv_too_large_repeated += strcmp(last, body) == 0;
+	snprintf(last, sizeof(last), "%s", body);
+}
+
 static void serve_transaction(const struct fl_http_request *request,
                               struct fl_http_response *response)
 {
 	cJSON *transaction = fl_json_parse(request->body, request->body_len);
+	const struct kv_model_limits *limits = &fake_services.kv_limits;
 
-	kv_model_serve_transaction(&model, transaction, response);
+	if (limits->txn_ops > 0 && kv_model_is_too_large(transaction, limits)) {
+		count_too_large(request->body);
+		set_json_response(response, 400, NULL);
+	} else {
+		kv_model_serve_transaction(&model, transaction, response);
+	}
 	cJSON_Delete(transaction);
 }
 
--- a/tests/fake_services.h
+++ b/tests/fake_services.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "kv_model.h"
 #include "protocol/workers.h"
 
 struct fake_services {
@@ -29,11 +30,15 @@
 	/* Number of the next rented machines that get neither replies nor commands; counts down. */
 	int unreachable_machines_to_rent;
 	bool cloud_unavailable;
+	/* The key-value store answers larger transactions with 400; txn_ops 0: no limits. */
+	struct kv_model_limits kv_limits;
 	/* Counts down with each request to the key-value store except watches. At 0 `interrupt` is
 	 * called, and the request is applied 0.2 s later. */
 	int interrupt_after_requests;
 	void (*interrupt)(void);
 
+	/* Transactions that were too large, and those of them equal to the one refused before. */
+	int kv_too_large, kv_too_large_repeated;
 	/* Totals of all workers; machines that were deleted later are included. */
 	int starts, completions, machines_rented;
 	/* Violations: starts of a task that is already running, fencing tokens that did not
--- a/tests/fault_combinations_kv_store.c
+++ b/tests/fault_combinations_kv_store.c
@@ -185,7 +185,7 @@
 }
 
 /* Announces limits of the key-value store in the settings of all nodes. */
-static void announce_limits(const struct sim_kv_limits *limits)
+static void announce_limits(const struct kv_model_limits *limits)
 {
 	for (int i = 0; i < sim.node_count; i++) {
 		sim.config[i].next_value_kb = limits->value_kb;
@@ -200,9 +200,9 @@
  */
 static void lowered_kv_limits(int variant)
 {
-	static const struct sim_kv_limits limits[] = {
+	static const struct kv_model_limits limits[] = {
 		{2, 4, 40}, {1, 2, 25}, {1, 16, 70}, {4, 3, 20}};
-	const struct sim_kv_limits *lowered = &limits[variant % 4];
+	const struct kv_model_limits *lowered = &limits[variant % 4];
 	double start_s = sim_random_between(20, 45);
 
 	if (variant % 3)
--- a/tests/kv_model.h
+++ b/tests/kv_model.h
@@ -93,6 +93,15 @@
 /* Serves a request to grant, renew or revoke a lease. */
 void kv_model_serve_lease(struct kv_model *model, const struct fl_http_request *request,
                           struct fl_http_response *response);
+/* What the store accepts; the number of conditions may be four times that of operations. */
+struct kv_model_limits {
+	double value_kb;
+	int txn_ops;
+	double write_rps; /* changes per second, in bursts of one second's worth */
+};
+
+/* Returns whether a value or the number of operations or conditions is beyond the limits. */
+bool kv_model_is_too_large(const cJSON *transaction, const struct kv_model_limits *limits);
 void kv_model_serve_transaction(struct kv_model *model, const cJSON *transaction,
                                 struct fl_http_response *response);
 
--- a/tests/kv_model_requests.c
+++ b/tests/kv_model_requests.c
@@ -163,6 +163,28 @@
 
 /* ---- transactions ---- */
 
+static size_t value_bytes(const cJSON *operation)
+{
+	char *value = cJSON_PrintUnformatted(fl_json_get(operation, "V"));
+	size_t bytes = value ? strlen(value) : 0;
+
+	free(value);
+	return bytes;
+}
+
+bool kv_model_is_too_large(const cJSON *transaction, const struct kv_model_limits *limits)
+{
+	const cJSON *operations = fl_json_get(transaction, "Apply"), *operation;
+
+	if (cJSON_GetArraySize(operations) > limits->txn_ops ||
+	    cJSON_GetArraySize(fl_json_get(transaction, "When")) > 4 * limits->txn_ops)
+		return true;
+	cJSON_ArrayForEach (operation, operations)
+		if ((double)value_bytes(operation) > limits->value_kb * 1024)
+			return true;
+	return false;
+}
+
 static bool operations_use_unknown_lease(const struct kv_model *model, const cJSON *operations)
 {
 	const cJSON *operation;
--- a/tests/scripted_store.c
+++ b/tests/scripted_store.c
@@ -19,31 +19,6 @@
 
 /* ---- requests ---- */
 
-static bool value_is_too_large(const cJSON *operation)
-{
-	const cJSON *value = fl_json_get(operation, "V");
-	char *text = value ? cJSON_PrintUnformatted(value) : NULL;
-	bool too_large = text && strlen(text) > scripted_store.limits.value_bytes;
-
-	free(text);
-	return too_large;
-}
-
-static bool is_too_large(const cJSON *transaction)
-{
-	const cJSON *operations = fl_json_get(transaction, "Apply"), *operation;
-	const struct scripted_limits *limits = &scripted_store.limits;
-	int conditions = cJSON_GetArraySize(fl_json_get(transaction, "When"));
-
-	if (limits->operations > 0 && (cJSON_GetArraySize(operations) > limits->operations ||
-	                               conditions > 4 * limits->operations))
-		return true;
-	cJSON_ArrayForEach (operation, operations)
-		if (limits->value_bytes > 0 && value_is_too_large(operation))
-			return true;
-	return false;
-}
-
 static void count_too_large(const char *body)
 {
 	const char *last = scripted_store.last_too_large;
@@ -56,7 +31,7 @@
 
 static bool take_write_tokens(const cJSON *transaction)
 {
-	double rate = scripted_store.limits.writes_per_s, now = fl_now();
+	double rate = scripted_store.limits.write_rps, now = fl_now();
 	double writes = cJSON_GetArraySize(fl_json_get(transaction, "Apply"));
 
 	if (rate <= 0)
@@ -75,7 +50,8 @@
 static bool refuse_beyond_limits(const cJSON *transaction, const char *body,
                                  struct fl_http_response *response)
 {
-	if (is_too_large(transaction)) {
+	if (scripted_store.limits.txn_ops > 0 &&
+	    kv_model_is_too_large(transaction, &scripted_store.limits)) {
 		count_too_large(body);
 		set_json_response(response, 400, NULL);
 		return true;
@@ -94,7 +70,7 @@
 
 	/* A test with limits checks what is stored in the end, not each write. */
 	sim_require(scripted_store.write_count < SCRIPTED_WRITES_MAX ||
-	            scripted_store.limits.operations > 0);
+	            scripted_store.limits.txn_ops > 0);
 	if (scripted_store.write_count < SCRIPTED_WRITES_MAX)
 		write = scripted_store.writes[scripted_store.write_count];
 	scripted_store.write_count++;
--- a/tests/scripted_store.h
+++ b/tests/scripted_store.h
@@ -22,16 +22,10 @@
 	double answer_after_s;
 };
 
-/* Larger transactions are answered with 400, and more changes with 429; 0: no limit. */
-struct scripted_limits {
-	size_t value_bytes;
-	int operations; /* puts and deletions in a transaction; four times as many conditions */
-	double writes_per_s; /* puts and deletions, in bursts of one second's worth */
-};
-
 struct scripted_store {
 	struct kv_model model;
-	struct scripted_limits limits;
+	/* Larger transactions are answered with 400, and more changes with 429; 0: no limits. */
+	struct kv_model_limits limits;
 	double write_tokens, tokens_updated_at;
 	int too_large_count, throttled_count; /* transactions refused for the limits */
 	/* Of the former, those that are equal to the one refused before. */
--- a/tests/service_fixture.c
+++ b/tests/service_fixture.c
@@ -28,6 +28,8 @@
 
 /* ---- settings ---- */
 
+static const char *next_limits = ""; /* a table of the settings */
+
 static int find_free_port(void)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
@@ -72,9 +74,10 @@
 	        "gpus_max = 0.0\n"
 	        "[settings.workers]\nreport_s = 0.25\nlease_s = 8.0\ncancel_s = 30.0\n"
 	        "[settings.state]\nrps = 500.0\nwrite_rps = 200.0\nvalue_kb = 4.0\ntxn_ops = 8\n"
+	        "%s"
 	        "[settings.cloud]\nrps = 50.0\nlist_lag_s = 0.5\n"
 	        "[settings.resources]\ncore_share = 1.0\nram_mb = 256.0\nmax_connections = 400\n",
-	        fake_services.cloud_addr, fake_services.kv_store_addr);
+	        fake_services.cloud_addr, fake_services.kv_store_addr, next_limits);
 	fclose(file);
 }
 
@@ -249,6 +252,27 @@
 	return fake_services_unreachable_machine_count() == 0;
 }
 
+/* ---- stages ---- */
+
+const char *service_failed_condition;
+
+static void run_stages_in_coroutine(void *argument)
+{
+	bool (**run_stages)(void) = argument;
+
+	if (!(*run_stages)() && !service_failed_condition)
+		service_failed_condition = "a stage that succeeds";
+	ev_break(fl_event_loop(), EVBREAK_ALL);
+}
+
+void service_run_stages(bool (*run_stages)(void))
+{
+	assert_non_null(fl_coroutine_spawn(run_stages_in_coroutine, &run_stages));
+	fl_coroutines_run();
+	if (service_failed_condition)
+		fail_msg("expected: %s", service_failed_condition);
+}
+
 /* ---- set-up ---- */
 
 static void configure_fakes(void)
@@ -288,6 +312,12 @@
 	return 0;
 }
 
+int service_set_up_with_next_limits(const char *table)
+{
+	next_limits = table;
+	return service_set_up(NULL);
+}
+
 int service_tear_down(void **state)
 {
 	(void)state;
--- a/tests/service_fixture.h
+++ b/tests/service_fixture.h
@@ -15,6 +15,32 @@
 int service_set_up(void **state);
 int service_tear_down(void **state);
 
+/*
+ * The same with limits of the key-value store that the controllers' settings announce for later, as
+ * the TOML table settings.state.next.
+ */
+int service_set_up_with_next_limits(const char *table);
+
+/* ---- stages ---- */
+
+/*
+ * Runs the stages of a test in a coroutine of the event loop, and fails the test if they fail: a
+ * failed cmocka assertion must not jump out of the coroutine, so stages use EXPECT.
+ */
+void service_run_stages(bool (*run_stages)(void));
+
+/* The first condition of EXPECT that did not hold; NULL: none. */
+extern const char *service_failed_condition;
+
+/* Ends the stage, a function that returns whether it succeeded, if the condition does not hold. */
+#define EXPECT(condition)                                                                          \
+	do {                                                                                       \
+		if (!(condition)) {                                                                \
+			service_failed_condition = #condition;                                     \
+			return false;                                                              \
+		}                                                                                  \
+	} while (0)
+
 /* ---- processes ---- */
 
 void start_controller(int index);
--- a/tests/sim_faults.h
+++ b/tests/sim_faults.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "kv_model.h"
 #include "sim_limits.h"
 
 enum sim_fault_kind {
@@ -52,13 +53,6 @@
 	SIM_FAULT_KINDS
 };
 
-/* Limits of the key-value store: transactions beyond them get 400, changes beyond the rate 429. */
-struct sim_kv_limits {
-	double value_kb;
-	int txn_ops;
-	double write_rps;
-};
-
 enum { SIM_FIRST_TIMING_FAULT = FAULT_DELAYED_COMMANDS };
 
 /* The target of a fault: a node, a zone, or one of these. */
@@ -77,7 +71,7 @@
 	bool delays_watches;
 	/* FAULT_DELAYED_HEARTBEATS: copies wait for the next leader, then go to every node. */
 	bool held_for_next_leader;
-	struct sim_kv_limits kv_limits; /* FAULT_KV_LIMITS_LOWERED */
+	struct kv_model_limits kv_limits; /* FAULT_KV_LIMITS_LOWERED */
 	bool active;
 	bool affects_machine[SIM_MACHINES]; /* chosen when the fault begins */
 };
--- a/tests/sim_kv_store.c
+++ b/tests/sim_kv_store.c
@@ -13,7 +13,7 @@
 #include "transport/clock.h"
 
 enum { REQUESTS_PER_S = 220 };
-static const struct sim_kv_limits initial_limits = {4, 16, 70};
+static const struct kv_model_limits initial_limits = {4, 16, 70};
 
 static struct {
 	struct kv_model model;
@@ -76,36 +76,13 @@
 
 /* ---- limits ---- */
 
-static const struct sim_kv_limits *current_limits(void)
+static const struct kv_model_limits *current_limits(void)
 {
 	const struct sim_fault *lowered = sim_fault_active(FAULT_KV_LIMITS_LOWERED, -1);
 
 	return lowered ? &lowered->kv_limits : &initial_limits;
 }
 
-static size_t value_bytes(const cJSON *operation)
-{
-	char *value = cJSON_PrintUnformatted(fl_json_get(operation, "V"));
-	size_t bytes = value ? strlen(value) : 0;
-
-	free(value);
-	return bytes;
-}
-
-static bool is_too_large(const cJSON *transaction)
-{
-	const cJSON *operations = fl_json_get(transaction, "Apply"), *operation;
-	const struct sim_kv_limits *limits = current_limits();
-
-	if (cJSON_GetArraySize(operations) > limits->txn_ops ||
-	    cJSON_GetArraySize(fl_json_get(transaction, "When")) > 4 * limits->txn_ops)
-		return true;
-	cJSON_ArrayForEach (operation, operations)
-		if ((double)value_bytes(operation) > limits->value_kb * 1024)
-			return true;
-	return false;
-}
-
 /*
  * Checks a transaction that is refused as too large: it must not be sent at all while the limits
  * are those of the settings, and not again unchanged after they were lowered.
@@ -241,7 +218,7 @@
 		transaction = fl_json_parse(request->body, request->body_len);
 		sim_require(transaction != NULL);
 	}
-	if (transaction && is_too_large(transaction)) {
+	if (transaction && kv_model_is_too_large(transaction, current_limits())) {
 		check_too_large(from, request);
 		set_json_response(response, 400, NULL);
 	} else if (!take_tokens(transaction))
--- a/tests/test_heartbeat_digest.c
+++ b/tests/test_heartbeat_digest.c
@@ -37,7 +37,7 @@
 	memset(&scenario, 0, sizeof(scenario));
 	scripted_store_begin();
 	sim_time_begin();
-	scripted_store.limits = (struct scripted_limits){2048, 4, 18};
+	scripted_store.limits = (struct kv_model_limits){2, 4, 18};
 	strcpy(scenario.config.node, "n0");
 	scenario.config.value_kb = 4;
 	scenario.config.txn_ops = 8;
@@ -157,7 +157,7 @@
 	struct fl_heartbeat heartbeat;
 
 	(void)state;
-	scripted_store.limits.value_bytes = 4096;
+	scripted_store.limits.value_kb = 4;
 	cache_heartbeat(1, TASKS_MAX);
 	cache_heartbeat(2, 40);
 	run_digest_writes();
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -17,23 +17,6 @@
 
 enum { ELECTION_STEPS = 9, JOBS_PER_STEP = 4 };
 
-/*
- * The result of the stages. They run in a coroutine, and a failed cmocka assertion must not jump
- * out of it.
- */
-static struct {
-	const char *failed_condition;
-	bool completed;
-} run;
-
-#define EXPECT(condition)                                                                          \
-	do {                                                                                       \
-		if (!(condition)) {                                                                \
-			run.failed_condition = #condition;                                         \
-			return false;                                                              \
-		}                                                                                  \
-	} while (0)
-
 /* ---- stages ---- */
 
 static bool malformed_requests_are_rejected(void)
@@ -190,27 +173,20 @@
 /* ---- the test ---- */
 
 /* Each stage depends on the stages before it, so the first failure ends the run. */
-static void run_stages(void *argument)
+static bool run_stages(void)
 {
-	(void)argument;
-	(void)(malformed_requests_are_rejected() && jobs_are_accepted_and_run() &&
+	return malformed_requests_are_rejected() && jobs_are_accepted_and_run() &&
 	       all_controllers_restart_without_the_cloud() &&
 	       the_leader_is_killed_during_faults() && a_cancelled_service_stops() &&
 	       all_controllers_restart_at_each_step_of_an_election() &&
 	       the_jobs_of_the_elections_finish() && all_jobs_are_known_after_the_faults() &&
-	       no_invariant_was_violated());
-	run.completed = true;
-	ev_break(fl_event_loop(), EVBREAK_ALL);
+	       no_invariant_was_violated();
 }
 
 static void jobs_finish_despite_crashes_and_failovers(void **state)
 {
 	(void)state;
-	fl_coroutine_spawn(run_stages, NULL);
-	fl_coroutines_run();
-	if (run.failed_condition)
-		fail_msg("expected: %s", run.failed_condition);
-	assert_true(run.completed);
+	service_run_stages(run_stages);
 }
 
 int main(void)
--- a/tests/test_store_limits.c
+++ b/tests/test_store_limits.c
@@ -31,8 +31,8 @@
 enum { MACHINES = 200 };
 
 /* The limits at the start, and those that the store changes to. */
-static const struct scripted_limits first_limits = {4096, 8, 25};
-static const struct scripted_limits lowered_limits = {2048, 4, 18};
+static const struct kv_model_limits first_limits = {4, 8, 25};
+static const struct kv_model_limits lowered_limits = {2, 4, 18};
 
 static struct {
 	struct fl_node node;
@@ -75,19 +75,19 @@
 	scenario.failover_result = fl_failover_load_cluster(&scenario.node);
 }
 
-static void set_limits(const struct scripted_limits *limits) { scripted_store.limits = *limits; }
+static void set_limits(const struct kv_model_limits *limits) { scripted_store.limits = *limits; }
 
-static void configure(struct fl_config *config, const struct scripted_limits *announced)
+static void configure(struct fl_config *config, const struct kv_model_limits *announced)
 {
-	config->value_kb = (double)first_limits.value_bytes / 1024;
-	config->txn_ops = first_limits.operations;
-	config->state_rps = config->state_write_rps = first_limits.writes_per_s;
-	config->next_value_kb = (double)announced->value_bytes / 1024;
-	config->next_txn_ops = announced->operations;
-	config->next_state_write_rps = announced->writes_per_s;
+	config->value_kb = first_limits.value_kb;
+	config->txn_ops = first_limits.txn_ops;
+	config->state_rps = config->state_write_rps = first_limits.write_rps;
+	config->next_value_kb = announced->value_kb;
+	config->next_txn_ops = announced->txn_ops;
+	config->next_state_write_rps = announced->write_rps;
 }
 
-static int set_up_with(const struct scripted_limits *announced)
+static int set_up_with(const struct kv_model_limits *announced)
 {
 	struct fl_node *node = &scenario.node;
 
@@ -115,7 +115,7 @@
 static int set_up_unannounced(void **state)
 {
 	(void)state;
-	return set_up_with(&(struct scripted_limits){0});
+	return set_up_with(&(struct kv_model_limits){0});
 }
 
 static int tear_down(void **state)
@@ -333,7 +333,7 @@
 	expect_refusals(1, 1);
 	for (int i = 0; i < 3; i++)
 		expect_durable(jobs[i]);
-	assert_int_equal(count_keys("w/"), lowered_limits.operations);
+	assert_int_equal(count_keys("w/"), lowered_limits.txn_ops);
 	end_leadership();
 	fail_over();
 	for (int i = 0; i < 3; i++)
@@ -438,7 +438,7 @@
 /* With the least limits that the settings allow, and the longest names. */
 static void a_block_is_stored_within_the_least_limits(void **state)
 {
-	const struct scripted_limits least = {FL_KV_VALUE_BYTES_MIN, FL_KV_TXN_OPERATIONS_MIN, 4};
+	const struct kv_model_limits least = {1, FL_KV_TXN_OPERATIONS_MIN, 4};
 	struct fl_job *job = add_job(1, 64);
 
 	(void)state;
@@ -521,7 +521,7 @@
  */
 static void a_job_with_a_large_record_is_cancelled_after_the_limits_were_lowered(void **state)
 {
-	const struct scripted_limits least = {FL_KV_VALUE_BYTES_MIN, FL_KV_TXN_OPERATIONS_MIN, 18};
+	const struct kv_model_limits least = {1, FL_KV_TXN_OPERATIONS_MIN, 18};
 	struct fl_http_response response = {0};
 	struct fl_job *job = add_job_with_long_names();
 
@@ -622,13 +622,13 @@
  * time. */
 static void no_transaction_has_more_changes_than_the_rate_allows(void **state)
 {
-	const struct scripted_limits slow = {4096, 8, 4};
+	const struct kv_model_limits slow = {4, 8, 4};
 	struct fl_job *job = add_job(1, 600);
 
 	(void)state;
 	place_tasks(job, 8);
 	write_records_for(30);
-	scenario.config.next_state_write_rps = slow.writes_per_s;
+	scenario.config.next_state_write_rps = slow.write_rps;
 	fl_node_init_store_limits(&scenario.node);
 	set_limits(&slow);
 	complete_tasks(job);
