Failover: an attempt read from a record is started only within quota and zones

A leader releases an attempt that its machine has not started (it was preempted before), places another one in its room, and ends when the placement is stored and the release is not: one or two urgent records are written without the other unsaved changes. The next leader finds both placed and starts both, beyond the team's maximum quota or in a second zone of a job whose tasks share one.

Change: an attempt of an earlier leader that its machine does not report is started only if all placed attempts together keep the quota and the zones; otherwise it is released, its absence being proven by a heartbeat with the new leader's token. While the zone of one of the job's machines is not known yet, it is neither started nor released.

--- a/src/coordination/workers/reconciliation_commands.c
+++ b/src/coordination/workers/reconciliation_commands.c
@@ -1,6 +1,9 @@
 /* Determines the commands that the attempts on a machine need. */
+#include <string.h>
+
 #include "coordination/node.h"
 #include "coordination/workers/reconciliation_internal.h"
+#include "storage/placement_rules.h"
 
 static const struct {
 	double checkpoint_margin_s;
@@ -13,9 +16,44 @@
 	return !job->cancelled && task->stop_reason == FL_STOP_NONE;
 }
 
-bool fl_attempt_may_start(const struct fl_job *job, uint32_t index)
+/* Returns whether the job's zone rule admits the attempt, which is placed, in this zone. */
+static bool zone_is_allowed(const struct fl_job *job, int zone)
+{
+	uint32_t others_by_zone[FL_ZONES_MAX];
+	const struct fl_zone_rule rule = {.same_zone = job->same_zone,
+	                                  .spread_zones = job->spread_zones,
+	                                  .task_count = job->task_count,
+	                                  .placed_by_zone = others_by_zone};
+
+	memcpy(others_by_zone, job->placement.by_zone, sizeof(others_by_zone));
+	others_by_zone[zone]--;
+	return fl_zone_rule_admits(&rule, zone);
+}
+
+enum fl_attempt_permission fl_attempt_permission(const struct fl_cluster *cluster,
+                                                 const struct fl_job *job, uint32_t index)
+{
+	const struct fl_team *team = &cluster->teams.by_index[job->team];
+	const struct fl_task *task = fl_task_find(job, index);
+	int zone;
+
+	if (task->fencing_token != 0)
+		return FL_ATTEMPT_PERMITTED;
+	if (!fl_team_fits_maximum_quota(team, team->used_cpus, team->used_gpus))
+		return FL_ATTEMPT_FORBIDDEN;
+	if (!job->same_zone && !job->spread_zones)
+		return FL_ATTEMPT_PERMITTED;
+	zone = cluster->machines.by_id[task->machine_id]->zone;
+	if (zone == FL_INDEX_NONE || job->placement.in_unknown_zone > 0)
+		return FL_ATTEMPT_UNDECIDED;
+	return zone_is_allowed(job, zone) ? FL_ATTEMPT_PERMITTED : FL_ATTEMPT_FORBIDDEN;
+}
+
+bool fl_attempt_may_start(const struct fl_cluster *cluster, const struct fl_job *job,
+                          uint32_t index)
 {
-	return job->record.unresolved_writes == 0 && fl_task_change_is_durable(job, index);
+	return job->record.unresolved_writes == 0 && fl_task_change_is_durable(job, index) &&
+	       fl_attempt_permission(cluster, job, index) == FL_ATTEMPT_PERMITTED;
 }
 
 double fl_attempt_grace_period_s(const struct fl_job *job, const struct fl_task *task)
@@ -42,7 +80,7 @@
 						    FL_COMMAND_STOP, job->ref, index, task->attempt,
 						    fl_attempt_grace_period_s(job, task)});
 		} else if (task->last_observed_state == FL_OBSERVED_NONE &&
-		           fl_attempt_may_start(job, index)) {
+		           fl_attempt_may_start(&node->cluster, job, index)) {
 			fl_command_list_add(commands,
 			                    &(struct fl_command){FL_COMMAND_START, job->ref, index,
 			                                         task->attempt, 0});
--- a/src/coordination/workers/reconciliation_internal.h
+++ b/src/coordination/workers/reconciliation_internal.h
@@ -39,11 +39,27 @@
 /* Returns whether the attempt should run; otherwise it is to be stopped. */
 bool fl_attempt_should_run(const struct fl_job *job, const struct fl_task *task);
 /*
- * Returns whether an attempt that should run may be started now: its placement is stored, and no
- * write of the job's record is unresolved. Such a write may cancel the job, and from the moment a
- * user is told of that by any node, no task of the job may be started.
+ * Returns whether an attempt that should run may be started now: its placement is stored, it is
+ * permitted, and no write of the job's record is unresolved. Such a write may cancel the job, and
+ * from the moment a user is told of that by any node, no task of the job may be started.
  */
-bool fl_attempt_may_start(const struct fl_job *job, uint32_t index);
+bool fl_attempt_may_start(const struct fl_cluster *cluster, const struct fl_job *job,
+                          uint32_t index);
+/* Whether a placed attempt may run beside the other placed attempts of its team and job. */
+enum fl_attempt_permission {
+	FL_ATTEMPT_PERMITTED,
+	FL_ATTEMPT_UNDECIDED, /* the zones of some of the job's machines are not known yet */
+	FL_ATTEMPT_FORBIDDEN /* beyond the team's maximum quota, or in a zone that is not allowed */
+};
+
+/*
+ * Checks an attempt that an earlier leader placed; those of this leader are permitted, since they
+ * were checked when they were placed. The records may hold more attempts than that leader had
+ * placed at any one time: a placement may be stored before the release of another attempt that made
+ * room for it. Started by the new leader, both would exceed the quota.
+ */
+enum fl_attempt_permission fl_attempt_permission(const struct fl_cluster *cluster,
+                                                 const struct fl_job *job, uint32_t index);
 /* Returns the grace period, s, in which a stopped attempt may write its checkpoint. */
 double fl_attempt_grace_period_s(const struct fl_job *job, const struct fl_task *task);
 
--- a/src/coordination/workers/reconciliation_unreported.c
+++ b/src/coordination/workers/reconciliation_unreported.c
@@ -34,8 +34,8 @@
 }
 
 /*
- * Releases an attempt that is to be stopped if its absence is proven. If a direct start command may
- * still arrive, requests a higher fencing token, which rules that out.
+ * Releases an attempt that is not to be started if its absence is proven. If a direct start command
+ * may still arrive, requests a higher fencing token, which rules that out.
  */
 static void release_task_if_absence_proven(const struct fl_heartbeat_context *context,
                                            struct fl_job *job, uint32_t index,
@@ -75,7 +75,11 @@
 		release_task_if_absence_proven(context, job, index, task);
 		return FL_REPLY_WITHOUT_START;
 	}
-	if (!context->commands || !fl_attempt_may_start(job, index))
+	if (fl_attempt_permission(&context->node->cluster, job, index) == FL_ATTEMPT_FORBIDDEN) {
+		release_task_if_absence_proven(context, job, index, task);
+		return FL_REPLY_WITHOUT_START;
+	}
+	if (!context->commands || !fl_attempt_may_start(&context->node->cluster, job, index))
 		return FL_REPLY_WITHOUT_START;
 	fl_command_list_add(context->commands, &(struct fl_command){FL_COMMAND_START, job->ref,
 	                                                            index, task->attempt, 0});
