Preemption: class and priority on a place only rise, so exchanges end

Cause, from a trace of the decisions (cycles 141 to 146; each line is one cycle): - a standard service of team speech, beyond its guarantee, preempts by priority both tasks of a best-effort service of team vision, within its own (services were exempt from the rule that work beyond a guarantee does not preempt guaranteed work by priority); - the best-effort service, first by rank, may not use the capacity reserved for the standard one and preempts by guarantee both tasks of an urgent array of speech, which exceeds its guarantee; - its place is free, the array comes before the standard service in the order and may use capacity reserved for a lower priority: it takes the room that the standard service had requested, which then requests the same again. So of three jobs each had a right against the next one. Between arrays of two teams this had been forbidden before; the same cycle was possible with the guarantee of one team only, if an array beyond it is urgent.

Change: each attempt has a class of preemption: critical services, then jobs that hold their team's guarantee, then all others. A job preempts nothing of a higher class. Whether a job holds its team's guarantee is counted by priority within the team, so that a team's important jobs are not held back by its other ones; the order of jobs goes on counting by submission.

The model of the scheduler in the tests has the same rules.

--- a/src/coordination/scheduling/schedule.h
+++ b/src/coordination/scheduling/schedule.h
@@ -49,6 +49,7 @@
 	bool same_zone, spread_zones, spot_allowed;
 	/* The job fits its team's guaranteed quota together with the team's earlier jobs. */
 	bool within_guaranteed_quota;
+	bool holds_guarantee; /* for preemption: see fl_job */
 	/* An array below urgent priority, of a class without an SLO; other classes have one. */
 	bool background;
 	bool begun; /* some task of the job is placed or done */
@@ -59,12 +60,11 @@
 
 /*
  * Resources of a machine that are reserved for a waiting job, also while victims are being stopped
- * there: meanwhile only jobs of the same or a higher priority may use them. With
- * `within_guaranteed_quota`, only urgent services and jobs within their team's guaranteed quota may
- * use them.
+ * there: meanwhile only jobs of the same or a higher priority may use them. If they were requested
+ * by guarantee, only urgent services and jobs that hold their team's guarantee may use them.
  */
 struct fl_reservation {
-	bool active, within_guaranteed_quota;
+	bool active, by_guarantee;
 	enum fl_priority priority;
 	struct fl_resources resources; /* all jobs may use the rest of the machine */
 };
@@ -85,8 +85,8 @@
 	int machine, team;
 	enum fl_priority priority;
 	bool service, stopping;
-	bool preemptible;             /* may be chosen as a victim */
-	bool within_guaranteed_quota; /* its job is within its team's guaranteed quota */
+	bool preemptible;     /* may be chosen as a victim */
+	bool holds_guarantee; /* its job's: see fl_job */
 	/*
 	 * The only placed task of an array or gang that was submitted more than overdue_after_s
 	 * ago: only urgent and critical jobs may preempt it.
--- a/src/coordination/scheduling/schedule_constraints.c
+++ b/src/coordination/scheduling/schedule_constraints.c
@@ -54,8 +54,7 @@
 		return false;
 	if (fl_sched_is_urgent_service(job))
 		return true;
-	return !cycle->resumed &&
-	       (!reserved->within_guaranteed_quota || job->within_guaranteed_quota);
+	return !cycle->resumed && (!reserved->by_guarantee || job->holds_guarantee);
 }
 
 /* Returns the resources of the machine that are withheld from the job. */
--- a/src/coordination/scheduling/schedule_order.c
+++ b/src/coordination/scheduling/schedule_order.c
@@ -91,7 +91,8 @@
 		return RANK_URGENT_SERVICE;
 	if (fl_sched_is_overdue(params, job))
 		return RANK_OVERDUE;
-	return job->within_guaranteed_quota ? RANK_WITHIN_GUARANTEE : RANK_OTHER;
+	return job->within_guaranteed_quota || job->holds_guarantee ? RANK_WITHIN_GUARANTEE
+	                                                            : RANK_OTHER;
 }
 
 static int compare_jobs(const void *left_item, const void *right_item, void *context)
--- a/src/coordination/scheduling/schedule_preemption.c
+++ b/src/coordination/scheduling/schedule_preemption.c
@@ -38,24 +38,38 @@
 };
 
 /*
- * Returns whether the attempt's job could in turn preempt this job by its guarantee. Without this
- * check, a standard array beyond its team's guaranteed quota preempted by priority a best-effort
- * service within its own, which preempted the array by guarantee, 39 times in a row. A guarantee
- * holds against any priority, so the first of the two preemptions is forbidden. No service is
- * preempted by guarantee, so services may preempt any lower priority.
+ * The classes of preemption, lowest first. An attempt is preempted only for a job of the same class
+ * and a higher priority, or of a higher class. Class and priority thus only rise on a machine by
+ * preemption, so an exchange of jobs in which each is preempted for the next one must end: see
+ * "Preemption ends" in docs/design.md.
  */
-static bool could_be_preempted_back(const struct fl_sched_job *job,
-                                    const struct fl_sched_attempt *attempt)
+enum preemption_class {
+	CLASS_OTHER,
+	CLASS_GUARANTEED,      /* holds its team's guarantee */
+	CLASS_CRITICAL_SERVICE /* nothing may preempt it */
+};
+
+static enum preemption_class preemption_class(bool service, enum fl_priority priority,
+                                              bool holds_guarantee)
+{
+	if (service && priority == FL_CRITICAL)
+		return CLASS_CRITICAL_SERVICE;
+	return holds_guarantee ? CLASS_GUARANTEED : CLASS_OTHER;
+}
+
+static enum preemption_class class_of_job(const struct fl_sched_job *job)
 {
-	return attempt->within_guaranteed_quota && !job->within_guaranteed_quota && !job->service &&
-	       attempt->team != job->team;
+	return preemption_class(job->service, job->priority, job->holds_guarantee);
+}
+
+static enum preemption_class class_of_attempt(const struct fl_sched_attempt *attempt)
+{
+	return preemption_class(attempt->service, attempt->priority, attempt->holds_guarantee);
 }
 
 /*
- * Returns whether a job within its team's guaranteed quota may preempt the attempt by guarantee.
- *
- * An attempt that is itself within a guaranteed quota is exempt, even if its team exceeds the quota
- * with other tasks: otherwise it starts first in the next cycle and is preempted again.
+ * Returns whether a job that holds its team's guarantee may preempt the attempt by it, regardless
+ * of the priorities. Services are exempt.
  */
 static bool may_preempt_by_guarantee(const struct fl_sched_cycle *cycle,
                                      const struct fl_sched_job *job,
@@ -63,7 +77,8 @@
 {
 	const struct fl_team *team = &cycle->input->teams[attempt->team];
 
-	if (attempt->team == job->team || attempt->service || attempt->within_guaranteed_quota)
+	if (attempt->team == job->team || attempt->service ||
+	    class_of_attempt(attempt) != CLASS_OTHER)
 		return false;
 	return !fl_team_fits_guaranteed_quota(team, team->used_cpus, team->used_gpus);
 }
@@ -76,8 +91,10 @@
 		return false;
 	if (attempt->last_running_task && job->priority < FL_URGENT)
 		return false;
+	if (class_of_job(job) < class_of_attempt(attempt))
+		return false;
 	if (attempt->priority < job->priority)
-		return !could_be_preempted_back(job, attempt);
+		return true;
 	return entitlement == ENTITLED_BY_GUARANTEE &&
 	       may_preempt_by_guarantee(cycle, job, attempt);
 }
@@ -211,10 +228,10 @@
 	fl_resources_subtract(&machine->free, job->need);
 	job->placed_by_zone[machine->zone]++;
 	if (!machine->requested.active)
-		machine->requested = (struct fl_reservation){
-			.active = true,
-			.within_guaranteed_quota = entitlement == ENTITLED_BY_GUARANTEE,
-			.priority = job->priority};
+		machine->requested = (struct fl_reservation){.active = true,
+		                                             .by_guarantee = entitlement ==
+		                                                             ENTITLED_BY_GUARANTEE,
+		                                             .priority = job->priority};
 	fl_resources_add(&machine->requested.resources, job->need);
 }
 
@@ -266,7 +283,7 @@
 static enum entitlement next_task_entitlement(const struct fl_sched_job *job,
                                               const struct fl_team *team)
 {
-	bool within = job->within_guaranteed_quota &&
+	bool within = job->holds_guarantee &&
 	              fl_team_fits_guaranteed_quota(team, team->used_cpus + job->need.cpus,
 	                                            team->used_gpus + job->need.gpus);
 
--- a/src/coordination/scheduling/scheduling_decisions.c
+++ b/src/coordination/scheduling/scheduling_decisions.c
@@ -75,7 +75,7 @@
 		    (reserved->active && reserved->priority > requested->priority))
 			continue;
 		machine->reservation.reserved_at = now;
-		machine->reservation.within_guaranteed_quota = requested->within_guaranteed_quota;
+		machine->reservation.by_guarantee = requested->by_guarantee;
 		machine->reservation.priority = requested->priority;
 		machine->reservation.cpus = requested->resources.cpus;
 		machine->reservation.gpus = requested->resources.gpus;
--- a/src/coordination/scheduling/scheduling_snapshot.c
+++ b/src/coordination/scheduling/scheduling_snapshot.c
@@ -116,6 +116,7 @@
 	target->placed_in_unknown_zone = job->placement.in_unknown_zone;
 	target->image = job->image;
 	target->within_guaranteed_quota = job->within_guaranteed_quota;
+	target->holds_guarantee = job->holds_guarantee;
 	target->background = is_background_job(builder->node, job);
 	target->begun = job->counts.placed > 0 || job->counts.done > 0;
 	target->window_remaining_s = backfill_window_remaining_s(job, builder->now);
@@ -189,7 +190,7 @@
 	target->service = job->kind == FL_SERVICE;
 	target->stopping = job->cancelled || task->stop_reason != FL_STOP_NONE;
 	target->preemptible = !target->stopping;
-	target->within_guaranteed_quota = job->within_guaranteed_quota;
+	target->holds_guarantee = job->holds_guarantee;
 	target->used = fl_job_task_resources(job);
 	target->estimated_remaining_s = task_remaining_s(job, task, builder->now);
 	target->stop_loss_s = task_stop_loss_s(job, task, builder->now);
@@ -208,13 +209,45 @@
 	return strcmp(left->ref, right->ref);
 }
 
+static int compare_priorities(const void *left_item, const void *right_item)
+{
+	const struct fl_job *left = *(struct fl_job *const *)left_item;
+	const struct fl_job *right = *(struct fl_job *const *)right_item;
+
+	if (left->priority != right->priority)
+		return left->priority > right->priority ? -1 : 1;
+	return compare_submission_times(left_item, right_item);
+}
+
+/* Which jobs fit their teams' guaranteed quotas, counted in the order of `jobs`. */
+static void count_guarantees(const struct fl_cluster *cluster, struct fl_job **jobs, size_t count,
+                             void (*mark)(struct fl_job *job, bool fits))
+{
+	double cpus[FL_TEAMS_MAX] = {0}, gpus[FL_TEAMS_MAX] = {0};
+
+	for (size_t i = 0; i < count; i++) {
+		struct fl_job *job = jobs[i];
+
+		cpus[job->team] += job->cpus * job->task_count;
+		gpus[job->team] += job->gpus * job->task_count;
+		mark(job, fl_team_fits_guaranteed_quota(&cluster->teams.by_index[job->team],
+		                                        cpus[job->team], gpus[job->team]));
+	}
+}
+
+static void mark_within_guarantee(struct fl_job *job, bool fits)
+{
+	job->within_guaranteed_quota = fits;
+}
+
+static void mark_holding_guarantee(struct fl_job *job, bool fits) { job->holds_guarantee = fits; }
+
 /*
  * Marks the jobs that fit their team's guaranteed quota together with the team's earlier unfinished
- * jobs. `scratch` has room for all jobs.
+ * jobs, and those that do together with its more important ones. `scratch` has room for all jobs.
  */
 static void mark_jobs_within_guarantee(struct fl_cluster *cluster, struct fl_job **scratch)
 {
-	double cpus[FL_TEAMS_MAX] = {0}, gpus[FL_TEAMS_MAX] = {0};
 	struct fl_job *job, *next;
 	size_t count = 0;
 
@@ -222,13 +255,9 @@
 		if (!job->cancelled)
 			scratch[count++] = job;
 	qsort(scratch, count, sizeof(*scratch), compare_submission_times);
-	for (size_t i = 0; i < count; i++) {
-		job = scratch[i];
-		cpus[job->team] += job->cpus * job->task_count;
-		gpus[job->team] += job->gpus * job->task_count;
-		job->within_guaranteed_quota = fl_team_fits_guaranteed_quota(
-			&cluster->teams.by_index[job->team], cpus[job->team], gpus[job->team]);
-	}
+	count_guarantees(cluster, scratch, count, mark_within_guarantee);
+	qsort(scratch, count, sizeof(*scratch), compare_priorities);
+	count_guarantees(cluster, scratch, count, mark_holding_guarantee);
 }
 
 /*
@@ -242,12 +271,12 @@
 	if (machine->reservation.reserved_at <= 0 ||
 	    now > machine->reservation.reserved_at + tunables.reservation_s)
 		return (struct fl_reservation){0};
-	return (struct fl_reservation){
-		.active = true,
-		.within_guaranteed_quota = machine->reservation.within_guaranteed_quota,
-		.priority = machine->reservation.priority,
-		.resources = {machine->reservation.cpus, machine->reservation.gpus,
-	                      machine->reservation.ram_gb}};
+	return (struct fl_reservation){.active = true,
+	                               .by_guarantee = machine->reservation.by_guarantee,
+	                               .priority = machine->reservation.priority,
+	                               .resources = {machine->reservation.cpus,
+	                                             machine->reservation.gpus,
+	                                             machine->reservation.ram_gb}};
 }
 
 static void add_machine(const struct builder *builder, struct fl_machine *machine)
--- a/src/storage/cluster.h
+++ b/src/storage/cluster.h
@@ -121,6 +121,12 @@
 	bool same_zone, spread_zones, spot_allowed;
 	/* The team's guaranteed quota has room for this job and the team's earlier jobs. */
 	bool within_guaranteed_quota;
+	/*
+	 * The same with the team's jobs of a higher priority in place of all earlier ones. For
+	 * preemption, a team's guarantee belongs to its most important jobs, so that no job is
+	 * protected by it from a more important one of the same team.
+	 */
+	bool holds_guarantee;
 	bool cancelled;      /* cancelled by its user; tasks may still have to be stopped */
 	double cancelled_at; /* not later than the reply to the cancellation; 0: not cancelled */
 	double submitted_wall;
--- a/src/storage/machines.h
+++ b/src/storage/machines.h
@@ -73,7 +73,7 @@
 	double reserved_at; /* when the reservation was last made; 0: none */
 	double cpus, gpus, ram_gb;
 	enum fl_priority priority : 8;
-	bool within_guaranteed_quota;
+	bool by_guarantee;
 };
 
 /* Recent failures on a machine, and its quarantine. */
--- a/tests/schedule_model.c
+++ b/tests/schedule_model.c
@@ -106,7 +106,7 @@
 		return RANK_URGENT_SERVICE;
 	if (!job->service && !job->begun && job->waited_s > OVERDUE_AFTER_S)
 		return 2;
-	return job->within_guaranteed_quota ? 1 : 0;
+	return job->within_guaranteed_quota || job->holds_guarantee ? 1 : 0;
 }
 
 /* Returns the priority of the paper that schedule.h cites, with a growing weight of the wait. */
--- a/tests/schedule_model_reservations.c
+++ b/tests/schedule_model_reservations.c
@@ -114,7 +114,7 @@
 	job->placed_by_zone[machine->zone]++;
 	if (!machine->requested.active) {
 		machine->requested.active = true;
-		machine->requested.within_guaranteed_quota = constraint->within_guarantee;
+		machine->requested.by_guarantee = constraint->within_guarantee;
 		machine->requested.priority = job->priority;
 	}
 	fl_resources_add(&machine->requested.resources, job->need);
@@ -131,7 +131,7 @@
 
 	while (requested + model->awaiting_image_count < job->startable_count && !job->gang) {
 		constraint.within_guarantee =
-			job->within_guaranteed_quota &&
+			job->holds_guarantee &&
 			model_usage_within_guarantee(team, team->used_cpus + job->need.cpus,
 		                                     team->used_gpus + job->need.gpus);
 		if (!model_within_team_maximum(model, job) ||
--- a/tests/schedule_model_rules.c
+++ b/tests/schedule_model_rules.c
@@ -134,14 +134,16 @@
 	    job->priority != FL_CRITICAL)
 		return false;
 	/*
-	 * By priority, guaranteed work is preempted only for a service, its own team or other
-	 * guaranteed work.
+	 * Work that holds its team's guarantee is preempted only for such work and for critical
+	 * services, and a critical service for nothing.
 	 */
+	if (attempt->holds_guarantee && !job->holds_guarantee &&
+	    !(job->service && job->priority == FL_CRITICAL))
+		return false;
 	if (attempt->priority < job->priority)
-		return !attempt->within_guaranteed_quota || job->within_guaranteed_quota ||
-		       job->service || attempt->team == job->team;
+		return true;
 	return within_guarantee && attempt->team != job->team && !attempt->service &&
-	       !attempt->within_guaranteed_quota &&
+	       !attempt->holds_guarantee &&
 	       !model_usage_within_guarantee(team, team->used_cpus, team->used_gpus);
 }
 
@@ -162,8 +164,7 @@
 	fl_resources_add(&available, model->releasing_resources[machine_index]);
 	if (!reserved->active ||
 	    (job->priority >= reserved->priority &&
-	     (model_is_urgent_service(job) || !reserved->within_guaranteed_quota ||
-	      job->within_guaranteed_quota)))
+	     (model_is_urgent_service(job) || !reserved->by_guarantee || job->holds_guarantee)))
 		return available;
 	if (machine->requested.active && machine->requested.priority >= reserved->priority)
 		covered = machine->requested.resources;
--- a/tests/schedule_random.c
+++ b/tests/schedule_random.c
@@ -25,7 +25,7 @@
 		                                  .pull_gb_per_s = 0.5,
 		                                  .cached_images = snapshot->cached_images[i]};
 		snapshot->machines[i].reserved.active = random_below(rng, 4) == 0;
-		snapshot->machines[i].reserved.within_guaranteed_quota = random_below(rng, 2) > 0;
+		snapshot->machines[i].reserved.by_guarantee = random_below(rng, 2) > 0;
 		snapshot->machines[i].reserved.priority = (enum fl_priority)random_below(rng, 4);
 		snapshot->machines[i].reserved.resources.cpus = random_below(rng, 12);
 		snapshot->machines[i].reserved.resources.gpus = random_below(rng, 3);
@@ -46,7 +46,7 @@
 		attempt.service = random_below(rng, 3) == 0;
 		attempt.stopping = random_below(rng, 6) == 0;
 		attempt.preemptible = !attempt.stopping;
-		attempt.within_guaranteed_quota = random_below(rng, 3) == 0;
+		attempt.holds_guarantee = random_below(rng, 3) == 0;
 		attempt.last_running_task = !attempt.service && random_below(rng, 3) == 0;
 		attempt.used.cpus = 1 + random_below(rng, 6);
 		attempt.used.gpus = random_below(rng, 3);
@@ -75,6 +75,8 @@
 		job->priority = (enum fl_priority)random_below(rng, 4);
 		job->team = (int)random_below(rng, TEAMS);
 		job->within_guaranteed_quota = random_below(rng, 3) == 0;
+		/* In most snapshots the same; not drawn, so that known seeds give known jobs. */
+		job->holds_guarantee = job->within_guaranteed_quota != (i % 5 == 4);
 		job->begun = random_below(rng, 2) > 0;
 		job->waited_s = random_below(rng, 300) + 0.01 * i;
 		job->estimate_s =
--- a/tests/test_schedule_model.c
+++ b/tests/test_schedule_model.c
@@ -26,7 +26,7 @@
 	const struct fl_resources *resources = &reservation->resources;
 
 	assert_int_equal(reservation->active, expected->active);
-	assert_int_equal(reservation->within_guaranteed_quota, expected->within_guaranteed_quota);
+	assert_int_equal(reservation->by_guarantee, expected->by_guarantee);
 	assert_int_equal(reservation->priority, expected->priority);
 	assert_true(fabs(resources->cpus - expected->resources.cpus) < 1e-6 &&
 	            fabs(resources->gpus - expected->resources.gpus) < 1e-6 &&
--- a/tests/test_schedule_preemption.c
+++ b/tests/test_schedule_preemption.c
@@ -149,25 +149,116 @@
 	snapshot.attempts[0] = running_attempt(0, 4, 50);
 	snapshot.attempts[0].priority = FL_BEST_EFFORT;
 	snapshot.attempts[0].team = 1;
-	snapshot.attempts[0].within_guaranteed_quota = true;
+	snapshot.attempts[0].holds_guarantee = true;
 	run_schedule(&snapshot, &output);
 	assert_int_equal(output.preemption_count, 0);
 	fl_sched_output_free(&output);
 	/* An attempt beyond the guarantee is preempted for a higher priority. */
 	snapshot.machines[0] = plain_machine(0);
 	snapshot.jobs[0].startable_count = 1;
-	snapshot.attempts[0].within_guaranteed_quota = false;
+	snapshot.attempts[0].holds_guarantee = false;
 	run_schedule(&snapshot, &output);
 	assert_int_equal(output.preemption_count, 1);
 	fl_sched_output_free(&output);
 }
 
+/* ---- no cycle of preemptions ---- */
+
+enum { KINDS = 2 * 4 * 2 * 2 };
+
+/* What a job's right to preempt, and not to be preempted, depends on. */
+struct kind {
+	bool service, holds_guarantee;
+	enum fl_priority priority;
+	int team;
+};
+
+static struct kind kind_at(int index)
+{
+	return (struct kind){.service = index & 1,
+	                     .holds_guarantee = index & 2,
+	                     .team = index >> 2 & 1,
+	                     .priority = (enum fl_priority)(index >> 3)};
+}
+
+/*
+ * Returns whether a job of one kind preempts an attempt of another that fills the only machine,
+ * while the job's team is below its guarantee, and another team of the attempt beyond its own.
+ */
+static bool preempts(struct kind kind, struct kind other)
+{
+	struct snapshot snapshot = {.job_count = 1, .machine_count = 1, .attempt_count = 1};
+	struct fl_sched_output output;
+	bool preempted;
+
+	snapshot.teams[kind.team].guaranteed_cpus = 100;
+	if (other.team != kind.team)
+		snapshot.teams[other.team].guaranteed_cpus = other.holds_guarantee ? 100 : 1;
+	snapshot.teams[other.team].used_cpus = 4;
+	snapshot.jobs[0] = plain_job(4, 1, kind.service ? 0 : 60, 10);
+	snapshot.jobs[0].service = kind.service;
+	snapshot.jobs[0].priority = kind.priority;
+	snapshot.jobs[0].team = kind.team;
+	snapshot.jobs[0].holds_guarantee = kind.holds_guarantee;
+	snapshot.machines[0] = plain_machine(0);
+	snapshot.attempts[0] = running_attempt(0, 4, 50);
+	snapshot.attempts[0].service = other.service;
+	snapshot.attempts[0].priority = other.priority;
+	snapshot.attempts[0].team = other.team;
+	snapshot.attempts[0].holds_guarantee = other.holds_guarantee;
+	run_schedule(&snapshot, &output);
+	preempted = output.preemption_count == 1;
+	fl_sched_output_free(&output);
+	return preempted;
+}
+
+/*
+ * Guards against endless preemption among three jobs: a standard service beyond its team's
+ * guarantee preempted a best-effort service within its own by priority, which preempted an urgent
+ * array of the first team by guarantee, which took the capacity reserved for the standard service:
+ * one task started 31 times in a minute. By whatever chain of preemptions a job loses its machine,
+ * it must not get it back by another one.
+ */
+static void no_chain_of_preemptions_returns_to_its_beginning(void **state)
+{
+	bool reaches[KINDS][KINDS];
+
+	(void)state;
+	for (int i = 0; i < KINDS; i++)
+		for (int k = 0; k < KINDS; k++)
+			reaches[i][k] = preempts(kind_at(i), kind_at(k));
+	for (int via = 0; via < KINDS; via++)
+		for (int i = 0; i < KINDS; i++)
+			for (int k = 0; k < KINDS; k++)
+				reaches[i][k] |= reaches[i][via] && reaches[via][k];
+	for (int i = 0; i < KINDS; i++)
+		assert_false(reaches[i][i]);
+}
+
+/* The rights that are left: priority among equals, the guarantee, and critical services. */
+static void preemption_by_priority_and_by_guarantee_is_possible(void **state)
+{
+	const struct kind array = {.priority = FL_STANDARD}, urgent_array = {.priority = FL_URGENT},
+			  guaranteed = {.holds_guarantee = true, .team = 1},
+			  critical_service = {.service = true, .priority = FL_CRITICAL};
+
+	(void)state;
+	assert_true(preempts(urgent_array, array));
+	assert_false(preempts(array, urgent_array));
+	assert_true(preempts(guaranteed, urgent_array));
+	assert_false(preempts(urgent_array, guaranteed));
+	assert_true(preempts(critical_service, guaranteed));
+	assert_false(preempts(guaranteed, critical_service));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_reservation_is_not_made_twice_for_capacity_about_to_become_free),
 		cmocka_unit_test(preempted_capacity_goes_to_the_preempting_job),
 		cmocka_unit_test(guaranteed_work_is_not_preempted_by_a_job_that_it_could_preempt),
+		cmocka_unit_test(no_chain_of_preemptions_returns_to_its_beginning),
+		cmocka_unit_test(preemption_by_priority_and_by_guarantee_is_possible),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
