Tests of the service: the leader has to rent machines, whatever is idle

Now it is a service with more replicas than all machines rented so far can run: they do not end, so more machines must be rented however many are idle, and the test waits for that. The check itself stays; the leader was not found not to rent when it should.

--- a/tests/service_fixture.c
+++ b/tests/service_fixture.c
@@ -243,6 +243,15 @@
 	return fake_services_running_task_count(ref) == 0;
 }
 
+bool wait_until_unreachable_machines_are_rented(void)
+{
+	double deadline = fl_now() + TIMEOUT_S;
+
+	while (fake_services.unreachable_machines_to_rent > 0 && fl_now() < deadline)
+		fl_sleep(0.1);
+	return fake_services.unreachable_machines_to_rent == 0;
+}
+
 bool wait_until_unreachable_machines_are_deleted(void)
 {
 	double deadline = fl_now() + TIMEOUT_S;
--- a/tests/service_fixture.h
+++ b/tests/service_fixture.h
@@ -80,6 +80,8 @@
 /* The same once for each controller, as the first one that is queried. */
 bool wait_for_job_status_on_all_controllers(const char *ref, const char *expected);
 bool wait_until_job_stopped(const char *ref);
+/* Waits until all machines that fake_services.unreachable_machines_to_rent asks for are rented. */
+bool wait_until_unreachable_machines_are_rented(void);
 bool wait_until_unreachable_machines_are_deleted(void);
 
 #endif
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -15,7 +15,7 @@
 #include "service_fixture.h"
 #include "transport/coroutine.h"
 
-enum { ELECTION_STEPS = 9, JOBS_PER_STEP = 4 };
+enum { ELECTION_STEPS = 9, JOBS_PER_STEP = 4, MACHINE_CPUS = 4, UNREACHABLE_MACHINES = 2 };
 
 /* ---- stages ---- */
 
@@ -110,7 +110,7 @@
 {
 	/* Copies of heartbeats arrive two leases late; the next machines rented are unreachable. */
 	fake_services.delayed_heartbeat_every = 3;
-	fake_services.unreachable_machines_to_rent = 2;
+	fake_services.unreachable_machines_to_rent = UNREACHABLE_MACHINES;
 	EXPECT(submit_job("run-000005", "sweep", 90, 1));
 	fake_services.interrupt = restart_all_controllers;
 	for (int step = 1; step <= ELECTION_STEPS; step++) {
@@ -129,15 +129,24 @@
 static bool the_jobs_of_the_elections_finish(void)
 {
 	EXPECT(wait_for_job_status("run-000005", "\"Status\":\"done\"", 0));
-	/*
-	 * If the idle machines were sufficient (once in 60 runs), no unreachable machine was
-	 * rented. A job with more tasks than they can run at once makes the leader rent more.
-	 */
-	if (fake_services.unreachable_machines_to_rent > 0) {
-		EXPECT(submit_job("run-000007", "sweep", 4 * fake_services.machines_rented + 40,
-		                  0));
-		EXPECT(wait_for_job_status("run-000007", "\"Status\":\"done\"", 0));
-	}
+	return true;
+}
+
+/*
+ * The next machines rented are unreachable. More replicas than all machines rented so far can run
+ * make the leader rent more: they do not end, so no machine becomes free for them, however many are
+ * idle. (Tasks of an array end so soon that the leader may wait for the machines of others.)
+ */
+static bool unreachable_machines_are_rented(void)
+{
+	EXPECT(submit_job("run-000007", "standing",
+	                  MACHINE_CPUS * fake_services.machines_rented + 2 * MACHINE_CPUS, 0));
+	EXPECT(wait_until_unreachable_machines_are_rented());
+	print_message("unreachable machines rented: %d, of which %d are not returned yet\n",
+	              UNREACHABLE_MACHINES - fake_services.unreachable_machines_to_rent,
+	              fake_services_unreachable_machine_count());
+	EXPECT(cancel_job("run-000007"));
+	EXPECT(wait_until_job_stopped("run-000007"));
 	return true;
 }
 
@@ -179,8 +188,8 @@
 	       all_controllers_restart_without_the_cloud() &&
 	       the_leader_is_killed_during_faults() && a_cancelled_service_stops() &&
 	       all_controllers_restart_at_each_step_of_an_election() &&
-	       the_jobs_of_the_elections_finish() && all_jobs_are_known_after_the_faults() &&
-	       no_invariant_was_violated();
+	       the_jobs_of_the_elections_finish() && unreachable_machines_are_rented() &&
+	       all_jobs_are_known_after_the_faults() && no_invariant_was_violated();
 }
 
 static void jobs_finish_despite_crashes_and_failovers(void **state)
