--- a/src/coordination/api/cancellation.c
+++ b/src/coordination/api/cancellation.c
@@ -88,7 +88,7 @@
 		return FL_KV_UNAVAILABLE; /* out of memory */
 	fl_key_job(key, job->ref);
 	fl_job_record_txn_begin(node, job, &txn);
-	fl_kv_txn_put(&txn.txn, key, cJSON_CreateRaw(record), 0);
+	fl_kv_txn_put_text(&txn.txn, key, record, 0);
 	free(record);
 	return fl_job_record_txn_commit(node, &txn, revision);
 }
--- a/src/coordination/persistence/final_record_writer.c
+++ b/src/coordination/persistence/final_record_writer.c
@@ -16,15 +16,21 @@
 	int part_index;
 };
 
-/* Moves to the first stored progress record at or after the position; false if there is none. */
-static bool find_stored_record(const struct fl_job *job, struct record_position *position)
+/* Returns the key of the next stored progress record, and moves behind it; false: no more. */
+static bool next_stored_record(const struct fl_job *job, struct record_position *position,
+                               char key[FL_KEY_MAX])
 {
 	for (; position->block_index < job->block_count; position->block_index++) {
 		const struct fl_task_block *block = fl_job_task_block(job, position->block_index);
 
-		for (; block && position->part_index < FL_BLOCK_PARTS_MAX; position->part_index++)
-			if (fl_block_part_is_stored(&block->parts[position->part_index]))
-				return true;
+		while (block && position->part_index < FL_BLOCK_PARTS_MAX) {
+			int part_index = position->part_index++;
+
+			if (!fl_block_part_is_stored(&block->parts[part_index]))
+				continue;
+			fl_key_progress(key, job->ref, position->block_index, part_index);
+			return true;
+		}
 		position->part_index = 0;
 	}
 	return false;
@@ -48,10 +54,9 @@
 	fl_kv_txn_delete(txn, key);
 	fl_key_finished(key, job->ref);
 	fl_kv_txn_put(txn, key, fl_job_record_encode_final(status, job->task_count), 0);
-	while (txn->size.operation_count < operations_max && find_stored_record(job, &position)) {
-		fl_key_progress(key, job->ref, position.block_index, position.part_index++);
+	while (txn->size.operation_count < operations_max &&
+	       next_stored_record(job, &position, key))
 		fl_kv_txn_delete(txn, key);
-	}
 	return position;
 }
 
@@ -61,10 +66,8 @@
 {
 	char key[FL_KEY_MAX];
 
-	while (find_stored_record(job, &position)) {
-		fl_key_progress(key, job->ref, position.block_index, position.part_index++);
+	while (next_stored_record(job, &position, key))
 		fl_pending_deletions_add(&node->record_writer.pending_deletions, key);
-	}
 }
 
 static void finish_job(struct fl_node *node, struct fl_job *job, enum fl_job_status status)
--- a/src/coordination/persistence/progress_writer.c
+++ b/src/coordination/persistence/progress_writer.c
@@ -43,31 +43,26 @@
 /* The result of adding records to a transaction. */
 enum collect_result {
 	COLLECT_OK,
+	COLLECT_SPLIT,           /* the part was too large and is two parts now */
 	COLLECT_FULL,            /* the transaction is as large as it may be */
 	COLLECT_REVISION_UNKNOWN /* the revision of a record must be read first */
 };
 
-/* Returns whether a start of one of these tasks waits until it is durable. */
-static bool range_is_urgent(const struct fl_task_block *block, struct fl_task_range range,
-                            uint64_t saved_generation)
+/* Returns whether a start of one of the part's tasks waits until it is durable. */
+static bool part_is_urgent(const struct fl_task_block *block, int part_index)
 {
-	uint64_t durable = saved_generation > block->logged_generation ? saved_generation
-	                                                               : block->logged_generation;
+	uint64_t saved = block->parts[part_index].saved_generation;
+	uint64_t durable = saved > block->logged_generation ? saved : block->logged_generation;
+	struct fl_task_range range = fl_block_part_range(block, part_index);
 
+	if (block->generation <= durable)
+		return false;
 	for (uint32_t i = range.first; i < range.end; i++)
 		if (block->tasks[i].phase == FL_TASK_PLACED && block->tasks[i].generation > durable)
 			return true;
 	return false;
 }
 
-static bool part_is_urgent(const struct fl_task_block *block, int part_index)
-{
-	uint64_t saved_generation = block->parts[part_index].saved_generation;
-
-	return block->generation > saved_generation &&
-	       range_is_urgent(block, fl_block_part_range(block, part_index), saved_generation);
-}
-
 static int count_urgent_parts(const struct fl_task_block *block)
 {
 	int count = 0;
@@ -99,31 +94,43 @@
 }
 
 static void add_record(struct batch *batch, struct fl_job *job, uint32_t block_index,
-                       int part_index, cJSON *value)
+                       int part_index, const char *text)
 {
 	const struct fl_task_block *block = fl_job_task_block(job, block_index);
 	char key[FL_KEY_MAX];
 
 	fl_key_progress(key, job->ref, block_index, part_index);
 	fl_kv_txn_expect_revision(&batch->txn, key, block->parts[part_index].mod_revision);
-	fl_kv_txn_put(&batch->txn, key, value, 0);
+	fl_kv_txn_put_text(&batch->txn, key, text, 0);
+	batch->bytes += strlen(text);
 	batch->parts[batch->count++] =
 		(struct written_part){job, block_index, part_index, block->generation};
 }
 
-/*
- * Adds a part's record to the transaction, unless it is larger than a value may be and the part can
- * be split: then sets `*split` to the index of the second half, which must be added first.
- */
-static enum collect_result collect_part(const struct fl_cluster *cluster, struct batch *batch,
-                                        struct fl_job *job, uint32_t block_index, int part_index,
-                                        int *split)
+/* Adds a part's encoded record to the transaction, or splits the part if that is too large. */
+static enum collect_result collect_record(struct batch *batch, struct fl_job *job,
+                                          uint32_t block_index, int part_index, const char *text)
 {
 	struct fl_task_block *block = fl_job_task_block(job, block_index);
+	size_t bytes = strlen(text);
+
+	if (bytes > batch->value_bytes_max && fl_block_part_split(block, part_index) >= 0)
+		return COLLECT_SPLIT;
+	if (batch->bytes + bytes > FL_RECORD_TXN_BYTES_MAX)
+		return COLLECT_FULL;
+	add_record(batch, job, block_index, part_index, text);
+	return COLLECT_OK;
+}
+
+static enum collect_result collect_part(const struct fl_cluster *cluster, struct batch *batch,
+                                        struct fl_job *job, uint32_t block_index, int part_index)
+{
+	const struct fl_task_block *block = fl_job_task_block(job, block_index);
+	enum collect_result result;
 	char *text;
-	size_t bytes;
 
-	*split = -1;
+	if (!part_is_in_scope(block, part_index, batch->scope))
+		return COLLECT_OK;
 	if (batch->count >= batch->count_max)
 		return COLLECT_FULL;
 	if (block->parts[part_index].revision_unknown)
@@ -131,18 +138,10 @@
 	text = fl_json_print_and_delete(fl_task_block_encode(
 		cluster, job, block_index, fl_block_part_range(block, part_index)));
 	if (!text)
-		return COLLECT_FULL;
-	bytes = strlen(text);
-	if (bytes > batch->value_bytes_max)
-		*split = fl_block_part_split(block, part_index);
-	if (*split < 0 && batch->bytes + bytes <= FL_RECORD_TXN_BYTES_MAX) {
-		add_record(batch, job, block_index, part_index, cJSON_CreateRaw(text));
-		batch->bytes += bytes;
-		free(text);
-		return COLLECT_OK;
-	}
+		return COLLECT_FULL; /* out of memory */
+	result = collect_record(batch, job, block_index, part_index, text);
 	free(text);
-	return *split < 0 ? COLLECT_FULL : COLLECT_OK;
+	return result;
 }
 
 /* Adds the parts of a block from the last one to the first: see block_parts.h. */
@@ -150,17 +149,17 @@
                                          struct fl_job *job, uint32_t block_index)
 {
 	const struct fl_task_block *block = fl_job_task_block(job, block_index);
-	int i = block ? fl_block_part_before(block, FL_BLOCK_PARTS_MAX) : -1, split;
+	int last_collected = FL_BLOCK_PARTS_MAX, i;
 
-	while (i >= 0) {
-		enum collect_result result = COLLECT_OK;
+	while (block && (i = fl_block_part_before(block, last_collected)) >= 0) {
+		enum collect_result result = collect_part(cluster, batch, job, block_index, i);
 
-		split = -1;
-		if (part_is_in_scope(block, i, batch->scope))
-			result = collect_part(cluster, batch, job, block_index, i, &split);
+		/* The second half of a part that was split is the next one. */
+		if (result == COLLECT_SPLIT)
+			continue;
 		if (result != COLLECT_OK)
 			return result;
-		i = split >= 0 ? split : fl_block_part_before(block, i);
+		last_collected = i;
 	}
 	return COLLECT_OK;
 }
--- a/src/protocol/kv_limits.c
+++ b/src/protocol/kv_limits.c
@@ -36,6 +36,11 @@
 	        limits->value_bytes, limits->txn_operations, limits->writes_per_s, reason);
 }
 
+static size_t half_but_at_least(size_t amount, size_t minimum)
+{
+	return amount / 2 > minimum ? amount / 2 : minimum;
+}
+
 /*
  * Halves what may have been too large. The response does not tell whether it was a value or the
  * number of operations, so both are halved, unless one is small enough for any store.
@@ -45,13 +50,11 @@
 	struct fl_kv_write_limits half = *limits;
 
 	if (size->largest_value_bytes > FL_KV_VALUE_BYTES_MIN)
-		half.value_bytes = size->largest_value_bytes / 2 > FL_KV_VALUE_BYTES_MIN
-		                           ? size->largest_value_bytes / 2
-		                           : FL_KV_VALUE_BYTES_MIN;
+		half.value_bytes =
+			half_but_at_least(size->largest_value_bytes, FL_KV_VALUE_BYTES_MIN);
 	if (size->operation_count > FL_KV_TXN_OPERATIONS_MIN)
-		half.txn_operations = size->operation_count / 2 > FL_KV_TXN_OPERATIONS_MIN
-		                              ? size->operation_count / 2
-		                              : FL_KV_TXN_OPERATIONS_MIN;
+		half.txn_operations = (int)half_but_at_least((size_t)size->operation_count,
+		                                             FL_KV_TXN_OPERATIONS_MIN);
 	lower_to(limits, &half);
 }
 
--- a/src/protocol/kv_store.c
+++ b/src/protocol/kv_store.c
@@ -349,15 +349,13 @@
 	cJSON_AddItemToArray(txn->conditions, item);
 }
 
-void fl_kv_txn_put(struct fl_kv_txn *txn, const char *key, cJSON *value, uint64_t lease_id)
+void fl_kv_txn_put_text(struct fl_kv_txn *txn, const char *key, const char *text, uint64_t lease_id)
 {
 	cJSON *item = cJSON_CreateObject();
-	char *text = fl_json_print_and_delete(value);
 	size_t bytes = strlen(text);
 
 	cJSON_AddStringToObject(item, "Put", key);
 	cJSON_AddItemToObject(item, "V", cJSON_CreateRaw(text));
-	free(text);
 	if (lease_id)
 		cJSON_AddNumberToObject(item, "Grant", (double)lease_id);
 	cJSON_AddItemToArray(txn->operations, item);
@@ -367,6 +365,16 @@
 	txn->uses_lease = txn->uses_lease || lease_id != 0;
 }
 
+void fl_kv_txn_put(struct fl_kv_txn *txn, const char *key, cJSON *value, uint64_t lease_id)
+{
+	char *text = fl_json_print_and_delete(value);
+
+	/* Out of memory: without a value the transaction is malformed, and is rejected as a whole.
+	 */
+	fl_kv_txn_put_text(txn, key, text ? text : "", lease_id);
+	free(text);
+}
+
 void fl_kv_txn_delete(struct fl_kv_txn *txn, const char *key)
 {
 	cJSON *item = cJSON_CreateObject();
--- a/src/protocol/kv_store.h
+++ b/src/protocol/kv_store.h
@@ -124,6 +124,9 @@
  * is deleted when the lease ends.
  */
 void fl_kv_txn_put(struct fl_kv_txn *txn, const char *key, cJSON *value, uint64_t lease_id);
+/* The same with a value that is encoded already, which is copied. */
+void fl_kv_txn_put_text(struct fl_kv_txn *txn, const char *key, const char *text,
+                        uint64_t lease_id);
 /* Adds a deletion of the key. */
 void fl_kv_txn_delete(struct fl_kv_txn *txn, const char *key);
 /*
--- a/src/storage/machine_type_records.c
+++ b/src/storage/machine_type_records.c
@@ -14,12 +14,13 @@
 		snprintf(key, FL_KEY_MAX, FL_KEY_MACHINE_TYPES "/%d", index);
 }
 
-/* Returns the size of a value with these types; with a bound of the fields of its set. */
-static size_t encoded_bytes(const struct fl_machine_types_value *value)
+/* Returns the size of a value with `count` of the types, and with a bound of its set's fields. */
+static size_t encoded_bytes(const struct fl_cloud_machine_type *types, int count)
 {
-	const struct fl_machine_types_set largest_set = {.value_count = 99999,
-	                                                 .number = UINT64_MAX >> 11};
-	char *text = fl_json_print_and_delete(fl_machine_types_value_encode(value, &largest_set));
+	const struct fl_machine_types_value value = {types, count};
+	const struct fl_machine_types_set largest_set = {.value_count = FL_MACHINE_TYPE_VALUES_MAX,
+	                                                 .number = FL_JSON_UINT_MAX};
+	char *text = fl_json_print_and_delete(fl_machine_types_value_encode(&value, &largest_set));
 	size_t bytes = text ? strlen(text) : 0;
 
 	free(text);
@@ -29,18 +30,18 @@
 int fl_machine_types_split(const struct fl_cloud_machine_type *types, int count, size_t value_bytes,
                            struct fl_machine_types_value *values)
 {
+	size_t empty_bytes = encoded_bytes(types, 0), used = 0;
 	int value_count = 0;
 
 	for (int i = 0; i < count; i++) {
-		struct fl_machine_types_value *last = &values[value_count - 1];
+		size_t type_bytes = encoded_bytes(&types[i], 1) - empty_bytes + strlen(",");
 
-		if (value_count > 0) {
-			last->count++;
-			if (encoded_bytes(last) <= value_bytes)
-				continue;
-			last->count--;
+		if (value_count == 0 || used + type_bytes > value_bytes) {
+			values[value_count++] = (struct fl_machine_types_value){&types[i], 0};
+			used = empty_bytes;
 		}
-		values[value_count++] = (struct fl_machine_types_value){&types[i], 1};
+		values[value_count - 1].count++;
+		used += type_bytes;
 	}
 	return value_count;
 }
