Digests: a heartbeat is shortened when it is too large, not kept in two forms

Every cached heartbeat was encoded twice, with and without its tasks, although the second form is needed only for the rare one that is larger than a value. The number of the digest whose heartbeats are released is that of the last one built, so it need not be passed. What is written stays the same.

--- a/src/coordination/follower/heartbeat_digest.c
+++ b/src/coordination/follower/heartbeat_digest.c
@@ -21,51 +21,42 @@
 	.max_written_age_intervals = 2, /* digest intervals until a heartbeat is too old to write */
 };
 
-/* Returns the cached heartbeat of the machine, which is added if necessary; NULL: out of memory. */
-static struct fl_cached_heartbeat *find_or_add(struct fl_follower *follower, const char *host)
-{
-	struct fl_cached_heartbeat *cached;
-
-	HASH_FIND_STR(follower->cached_heartbeats, host, cached);
-	if (cached)
-		return cached;
-	cached = calloc(1, sizeof(*cached));
-	if (!cached)
-		return NULL;
-	fl_copy_string(cached->host, sizeof(cached->host), host);
-	HASH_ADD_STR(follower->cached_heartbeats, host, cached);
-	return cached;
-}
-
 /*
  * A duplicate of a heartbeat may arrive long after the original, also when a newer one is cached.
  * It does not show that the worker is alive now, and so replaces nothing.
  */
 void fl_heartbeat_cache(struct fl_node *node, const struct fl_heartbeat *heartbeat)
 {
-	struct fl_cached_heartbeat *cached = find_or_add(&node->follower, heartbeat->host);
+	struct fl_cached_heartbeat *cached;
+	char *text;
 
-	if (!cached ||
-	    (cached->digest_entry &&
-	     !fl_heartbeat_is_newer_than(heartbeat, cached->incarnation, cached->sequence)))
+	HASH_FIND_STR(node->follower.cached_heartbeats, heartbeat->host, cached);
+	if (cached && !fl_heartbeat_is_newer_than(heartbeat, cached->incarnation, cached->sequence))
+		return;
+	text = fl_cached_heartbeat_encode(heartbeat);
+	if (!text)
 		return;
+	if (!cached) {
+		cached = calloc(1, sizeof(*cached));
+		if (!cached) {
+			free(text);
+			return;
+		}
+		fl_copy_string(cached->host, sizeof(cached->host), heartbeat->host);
+		HASH_ADD_STR(node->follower.cached_heartbeats, host, cached);
+	}
 	free(cached->digest_entry);
-	free(cached->short_digest_entry);
-	cached->digest_entry = fl_cached_heartbeat_encode(heartbeat);
-	cached->short_digest_entry = fl_cached_heartbeat_encode_without_tasks(heartbeat);
+	cached->digest_entry = text;
 	cached->incarnation = heartbeat->incarnation;
 	cached->sequence = heartbeat->sequence;
 	cached->cached_at = fl_now();
 	cached->in_digest = false;
-	if (!cached->digest_entry || !cached->short_digest_entry)
-		fl_cached_heartbeat_drop(&node->follower, cached); /* out of memory */
 }
 
 void fl_cached_heartbeat_drop(struct fl_follower *follower, struct fl_cached_heartbeat *cached)
 {
 	HASH_DEL(follower->cached_heartbeats, cached);
 	free(cached->digest_entry);
-	free(cached->short_digest_entry);
 	free(cached);
 }
 
@@ -113,35 +104,46 @@
 	return result;
 }
 
+/* Leaves out the tasks of a cached heartbeat that is larger than a value may be. */
+static void shorten_entry(struct fl_cached_heartbeat *cached, size_t limit)
+{
+	char *shorter;
+
+	if (strlen(cached->digest_entry) < limit)
+		return;
+	shorter = fl_cached_heartbeat_without_tasks(cached->digest_entry);
+	if (!shorter)
+		return;
+	free(cached->digest_entry);
+	cached->digest_entry = shorter;
+}
+
 /*
  * Builds a digest of as many heartbeats as fit into one record, from those that were cached since
  * `since` and are not in a digest yet. The caller deletes it; NULL if there are none.
  */
 static cJSON *build_digest(struct fl_node *node, double since)
 {
-	uint64_t number = ++node->follower.digest_count;
 	size_t limit = fl_kv_limits_fill_bytes(&node->kv_store.limits), used = 0;
 	struct fl_cached_heartbeat *cached, *tmp;
 	cJSON *digest = NULL;
 
+	node->follower.digest_count++;
 	HASH_ITER (hh, node->follower.cached_heartbeats, cached, tmp) {
-		const char *entry = cached->digest_entry;
-		size_t len = strlen(entry) + 1;
+		size_t len;
 
 		if (cached->in_digest || cached->cached_at < since)
 			continue;
-		if (len > limit) {
-			entry = cached->short_digest_entry;
-			len = strlen(entry) + 1;
-		}
+		shorten_entry(cached, limit);
+		len = strlen(cached->digest_entry) + 1;
 		if (used + len > limit)
 			break;
 		if (!digest)
 			digest = fl_digest_create(node->leader_view.fencing_token);
-		fl_digest_add_heartbeat(digest, entry);
+		fl_digest_add_heartbeat(digest, cached->digest_entry);
 		used += len;
 		cached->in_digest = true;
-		cached->digest_number = number;
+		cached->digest_number = node->follower.digest_count;
 		/* Moved to the end, so that a small write budget is shared by all machines. */
 		HASH_DEL(node->follower.cached_heartbeats, cached);
 		HASH_ADD_STR(node->follower.cached_heartbeats, host, cached);
@@ -149,13 +151,13 @@
 	return digest;
 }
 
-/* Lets the next digest have the heartbeats of one whose write was refused, in a smaller form. */
-static void release_heartbeats(struct fl_follower *follower, uint64_t digest_number)
+/* Lets the next digest have the heartbeats of the last one, whose write was refused. */
+static void release_heartbeats(struct fl_follower *follower)
 {
 	struct fl_cached_heartbeat *cached;
 
 	for (cached = follower->cached_heartbeats; cached; cached = cached->hh.next)
-		if (cached->digest_number == digest_number)
+		if (cached->digest_number == follower->digest_count)
 			cached->in_digest = false;
 }
 
@@ -169,7 +171,6 @@
 {
 	for (int i = 0; i < FL_DIGESTS_MAX; i++) {
 		enum fl_kv_result result;
-		uint64_t number;
 		cJSON *digest;
 
 		if (fl_token_bucket_take(&node->follower.digest_write_budget, 1, fl_now()) > 0)
@@ -177,10 +178,9 @@
 		digest = build_digest(node, since);
 		if (!digest)
 			return;
-		number = node->follower.digest_count;
 		result = write_digest(node, i, digest);
 		if (fl_kv_write_was_refused(result))
-			release_heartbeats(&node->follower, number);
+			release_heartbeats(&node->follower);
 		if (result != FL_KV_OK)
 			return;
 	}
--- a/src/coordination/follower/heartbeat_digest.h
+++ b/src/coordination/follower/heartbeat_digest.h
@@ -21,9 +21,7 @@
 	UT_hash_handle hh;
 	char host[FL_NAME_MAX];
 	uint64_t incarnation, sequence;
-	char *digest_entry; /* owned; the encoded heartbeat */
-	/* Owned; the same without tasks, used if the other is larger than a value may be. */
-	char *short_digest_entry;
+	char *digest_entry; /* owned; the encoded heartbeat, without tasks if it was too large */
 	double cached_at;
 	bool in_digest;         /* already added to a digest, whose write has not been refused */
 	uint64_t digest_number; /* number of that digest; valid if `in_digest` */
--- a/src/protocol/heartbeat_digests.c
+++ b/src/protocol/heartbeat_digests.c
@@ -16,36 +16,37 @@
 	return entry;
 }
 
+/* The index of the tasks in the array that a heartbeat is encoded as. */
+enum { TASKS_INDEX = 5 };
+
 /*
  * Format: [host,incarnation,sequence,fencing token,interruption_in_s,
  *          [[ref,index,attempt,state,exit reason],...]]; the exit reason only of an exited task.
  * With null in place of the tasks, nothing is known of them; earlier versions skip such an entry.
  */
-static char *encode_heartbeat(const struct fl_heartbeat *heartbeat, cJSON *tasks)
+char *fl_cached_heartbeat_encode(const struct fl_heartbeat *heartbeat)
 {
-	cJSON *item = cJSON_CreateArray();
+	cJSON *item = cJSON_CreateArray(), *tasks = cJSON_CreateArray();
 
 	cJSON_AddItemToArray(item, cJSON_CreateString(heartbeat->host));
 	cJSON_AddItemToArray(item, cJSON_CreateNumber((double)heartbeat->incarnation));
 	cJSON_AddItemToArray(item, cJSON_CreateNumber((double)heartbeat->sequence));
 	cJSON_AddItemToArray(item, cJSON_CreateNumber((double)heartbeat->fencing_token));
 	cJSON_AddItemToArray(item, cJSON_CreateNumber(heartbeat->interruption_in_s));
+	for (int i = 0; i < heartbeat->task_count; i++)
+		cJSON_AddItemToArray(tasks, encode_task(&heartbeat->tasks[i]));
 	cJSON_AddItemToArray(item, tasks);
 	return fl_json_print_and_delete(item);
 }
 
-char *fl_cached_heartbeat_encode(const struct fl_heartbeat *heartbeat)
+char *fl_cached_heartbeat_without_tasks(const char *encoded_heartbeat)
 {
-	cJSON *tasks = cJSON_CreateArray();
+	cJSON *item = fl_json_parse(encoded_heartbeat, strlen(encoded_heartbeat));
 
-	for (int i = 0; i < heartbeat->task_count; i++)
-		cJSON_AddItemToArray(tasks, encode_task(&heartbeat->tasks[i]));
-	return encode_heartbeat(heartbeat, tasks);
-}
-
-char *fl_cached_heartbeat_encode_without_tasks(const struct fl_heartbeat *heartbeat)
-{
-	return encode_heartbeat(heartbeat, cJSON_CreateNull());
+	if (!item)
+		return NULL;
+	cJSON_ReplaceItemInArray(item, TASKS_INDEX, cJSON_CreateNull());
+	return fl_json_print_and_delete(item);
 }
 
 static enum fl_decode_result decode_task(const cJSON *entry, struct fl_task_status *status)
@@ -99,7 +100,7 @@
 	    !cJSON_IsNumber(interruption))
 		return FL_DECODE_MALFORMED;
 	out->interruption_in_s = interruption->valuedouble >= 0 ? interruption->valuedouble : -1;
-	return decode_tasks(cJSON_GetArrayItem(item, 5), out);
+	return decode_tasks(cJSON_GetArrayItem(item, TASKS_INDEX), out);
 }
 
 cJSON *fl_digest_create(uint64_t fencing_token)
--- a/src/protocol/heartbeat_digests.h
+++ b/src/protocol/heartbeat_digests.h
@@ -12,10 +12,11 @@
 /* Encodes a cached heartbeat as an entry of a digest; the caller frees the text. */
 char *fl_cached_heartbeat_encode(const struct fl_heartbeat *heartbeat);
 /*
- * The same without the tasks, of which such an entry says nothing, for a machine with more of them
- * than fit into a value. It takes less than 200 bytes.
+ * Returns the encoded heartbeat without its tasks, of which the entry then says nothing, for a
+ * machine with more of them than fit into a value. It takes less than 200 bytes; the caller frees
+ * it. NULL: out of memory.
  */
-char *fl_cached_heartbeat_encode_without_tasks(const struct fl_heartbeat *heartbeat);
+char *fl_cached_heartbeat_without_tasks(const char *encoded_heartbeat);
 /* Decodes an entry of a digest; machine type, zone and endpoint stay empty. */
 enum fl_decode_result fl_cached_heartbeat_decode(const cJSON *item, struct fl_heartbeat *out);
 /* Creates a digest without heartbeats; the caller owns it. */
