Tests: one set-up of a leader with a scripted store, one check of the service's invariants

test_unanswered_writes and test_store_limits set up the same leader and jobs (scripted_leader); the two tests of the service checked the same four invariants; the tests of the log placed jobs in the same loops.

--- a/tests/service_fixture.c
+++ b/tests/service_fixture.c
@@ -261,6 +261,17 @@
 	return fake_services_unreachable_machine_count() == 0;
 }
 
+/* ---- invariants ---- */
+
+bool no_service_invariant_was_violated(void)
+{
+	EXPECT(fake_services.duplicate_starts == 0);
+	EXPECT(fake_services.tokens_reused == 0);
+	EXPECT(fake_services.rental_names_reused == 0);
+	EXPECT(fake_services.starts_on_deleted_machines == 0);
+	return true;
+}
+
 /* ---- stages ---- */
 
 const char *service_failed_condition;
--- a/tests/service_fixture.h
+++ b/tests/service_fixture.h
@@ -84,4 +84,9 @@
 bool wait_until_unreachable_machines_are_rented(void);
 bool wait_until_unreachable_machines_are_deleted(void);
 
+/* ---- invariants ---- */
+
+/* A stage: no task ran twice, and no fencing token, rental name or deleted machine was used. */
+bool no_service_invariant_was_violated(void);
+
 #endif
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -172,11 +172,7 @@
 {
 	EXPECT(fake_services.unreachable_machines_to_rent == 0);
 	EXPECT(wait_until_unreachable_machines_are_deleted());
-	EXPECT(fake_services.duplicate_starts == 0);
-	EXPECT(fake_services.tokens_reused == 0);
-	EXPECT(fake_services.rental_names_reused == 0);
-	EXPECT(fake_services.starts_on_deleted_machines == 0);
-	return true;
+	return no_service_invariant_was_violated();
 }
 
 /* ---- the test ---- */
--- a/tests/test_service_limits.c
+++ b/tests/test_service_limits.c
@@ -109,11 +109,7 @@
 static bool no_invariant_was_violated(void)
 {
 	EXPECT(fake_services.kv_too_large_repeated == 0);
-	EXPECT(fake_services.duplicate_starts == 0);
-	EXPECT(fake_services.tokens_reused == 0);
-	EXPECT(fake_services.rental_names_reused == 0);
-	EXPECT(fake_services.starts_on_deleted_machines == 0);
-	return true;
+	return no_service_invariant_was_violated();
 }
 
 /* ---- the test ---- */
--- a/tests/test_store_limits.c
+++ b/tests/test_store_limits.c
@@ -20,6 +20,7 @@
 #include "coordination/node.h"
 #include "coordination/persistence/record_txn.h"
 #include "coordination/persistence/record_writer.h"
+#include "scripted_leader.h"
 #include "scripted_store.h"
 #include "storage/job_records.h"
 #include "storage/keys.h"
@@ -51,15 +52,6 @@
 	fl_record_writer_run(&scenario.node);
 }
 
-static void begin_leadership(struct fl_node *node)
-{
-	node->leader_lease.held = node->leadership.active = node->cluster.has_leader_state = true;
-	node->leader_lease.valid_until = fl_now() + 10000;
-	node->leader_lease.leader_mod_revision =
-		scripted_store_put(FL_KEY_LEADER, cJSON_CreateObject());
-	fl_record_write_budget_init(node);
-}
-
 /* Ends the leadership as fl_leadership_end does, without its other coroutines. */
 static void end_leadership(void)
 {
@@ -89,19 +81,10 @@
 
 static int set_up_with(const struct kv_model_limits *announced)
 {
-	struct fl_node *node = &scenario.node;
-
 	memset(&scenario, 0, sizeof(scenario));
-	scripted_store_begin();
-	sim_time_begin();
-	set_limits(&first_limits);
 	configure(&scenario.config, announced);
-	node->config = &scenario.config;
-	strcpy(node->cluster.teams.by_index[0].name, "t");
-	node->cluster.teams.count = 1;
-	fl_node_init_store_limits(node);
-	fl_job_lookups_init(node);
-	begin_leadership(node);
+	scripted_leader_begin(&scenario.node, &scenario.config);
+	set_limits(&first_limits);
 	return 0;
 }
 
@@ -121,10 +104,7 @@
 static int tear_down(void **state)
 {
 	(void)state;
-	virtual_time_end();
-	fl_cluster_free(&scenario.node.cluster);
-	fl_record_writer_reset(&scenario.node.record_writer);
-	scripted_store_end();
+	scripted_leader_end(&scenario.node);
 	return 0;
 }
 
@@ -132,7 +112,6 @@
 
 static struct fl_job *add_job(int number, uint32_t task_count)
 {
-	struct fl_node *node = &scenario.node;
 	struct fl_job_spec spec = {.job_class = "c",
 	                           .team = "t",
 	                           .image = "i",
@@ -142,13 +121,9 @@
 	                           .ram_gb = 0.1,
 	                           .due_s = -1,
 	                           .machine_type_count = FL_ANY_MACHINE_TYPE};
-	char key[FL_KEY_MAX];
-	uint64_t revision;
 
 	snprintf(spec.ref, sizeof(spec.ref), "run-%06d", number);
-	fl_key_job(key, spec.ref);
-	revision = scripted_store_put(key, fl_job_record_encode_live(&spec, fl_wall_time()));
-	return fl_job_add(&node->cluster, &spec, fl_wall_time(), revision);
+	return scripted_leader_add_job(&scenario.node, &spec);
 }
 
 /* Places the job's tasks on machines whose names have `name_bytes` characters. */
@@ -169,6 +144,15 @@
 	}
 }
 
+/* Adds jobs with the numbers from 0 on, and places their tasks. */
+static void place_jobs(struct fl_job *jobs[], int job_count, uint32_t task_count, int name_bytes)
+{
+	for (int i = 0; i < job_count; i++) {
+		jobs[i] = add_job(i, task_count);
+		place_tasks(jobs[i], name_bytes);
+	}
+}
+
 static void complete_tasks(struct fl_job *job)
 {
 	for (uint32_t i = 0; i < job->task_count; i++)
@@ -200,6 +184,12 @@
 		assert_true(fl_task_change_is_durable(job, i));
 }
 
+static void expect_all_durable(struct fl_job *const jobs[], int job_count)
+{
+	for (int i = 0; i < job_count; i++)
+		expect_durable(jobs[i]);
+}
+
 static bool key_exists(const char *key)
 {
 	return kv_model_find(&scripted_store.model, key) != NULL;
@@ -265,14 +255,10 @@
 
 	(void)state;
 	set_limits(&lowered_limits);
-	for (int i = 0; i < 6; i++) {
-		jobs[i] = add_job(i, 40);
-		place_tasks(jobs[i], 8);
-	}
+	place_jobs(jobs, 6, 40, 8);
 	write_records_for(5);
 	expect_refusals(1, 1);
-	for (int i = 0; i < 6; i++)
-		expect_durable(jobs[i]);
+	expect_all_durable(jobs, 6);
 }
 
 /* The same with more records in a transaction than the store takes now, each small enough. */
@@ -282,11 +268,9 @@
 
 	(void)state;
 	set_limits(&lowered_limits);
-	for (int i = 0; i < 24; i++) {
-		jobs[i] = add_job(i, 1);
-		place_tasks(jobs[i], 8);
+	place_jobs(jobs, 24, 1, 8);
+	for (int i = 0; i < 24; i++)
 		complete_tasks(jobs[i]);
-	}
 	write_records_for(20);
 	expect_refusals(0, 1);
 	for (int i = 0; i < 24; i++) {
@@ -304,14 +288,10 @@
 
 	(void)state;
 	set_limits(&lowered_limits);
-	for (int i = 0; i < 6; i++) {
-		jobs[i] = add_job(i, 40);
-		place_tasks(jobs[i], 8);
-	}
+	place_jobs(jobs, 6, 40, 8);
 	write_records_for(10);
 	expect_refusals(1, 3);
-	for (int i = 0; i < 6; i++)
-		expect_durable(jobs[i]);
+	expect_all_durable(jobs, 6);
 }
 
 /*
@@ -325,14 +305,10 @@
 
 	(void)state;
 	set_limits(&lowered_limits);
-	for (int i = 0; i < 3; i++) {
-		jobs[i] = add_job(i, 64);
-		place_tasks(jobs[i], 9);
-	}
+	place_jobs(jobs, 3, 64, 9);
 	write_records_for(0.5);
 	expect_refusals(1, 1);
-	for (int i = 0; i < 3; i++)
-		expect_durable(jobs[i]);
+	expect_all_durable(jobs, 3);
 	assert_int_equal(count_keys("w/"), lowered_limits.txn_ops);
 	end_leadership();
 	fail_over();
@@ -492,8 +468,6 @@
 	                           .has_zone = true,
 	                           .due_s = -1,
 	                           .machine_type_count = FL_ALLOWED_TYPES_MAX};
-	char key[FL_KEY_MAX];
-	uint64_t revision;
 
 	memset(spec.job_class, 'c', FL_NAME_MAX - 1);
 	memset(spec.image, 'i', FL_NAME_MAX - 1);
@@ -505,9 +479,7 @@
 	}
 	fl_machine_types_set(&node->cluster.machines, &node->cluster.zones, types,
 	                     FL_ALLOWED_TYPES_MAX);
-	fl_key_job(key, spec.ref);
-	revision = scripted_store_put(key, fl_job_record_encode_live(&spec, fl_wall_time()));
-	return fl_job_add(&node->cluster, &spec, fl_wall_time(), revision);
+	return scripted_leader_add_job(node, &spec);
 }
 
 static void cancel_job(void *argument)
--- a/tests/test_unanswered_writes.c
+++ b/tests/test_unanswered_writes.c
@@ -17,10 +17,8 @@
 #include "coordination/api/status_from_leader.h"
 #include "coordination/node.h"
 #include "coordination/persistence/final_record_writer.h"
-#include "coordination/persistence/record_txn.h"
+#include "scripted_leader.h"
 #include "scripted_store.h"
-#include "storage/job_records.h"
-#include "storage/keys.h"
 #include "transport/clock.h"
 #include "virtual_time_fixture.h"
 
@@ -35,14 +33,6 @@
 
 /* ---- the leader ---- */
 
-static void begin_leadership(struct fl_node *node)
-{
-	node->leader_lease.held = node->leadership.active = node->cluster.has_leader_state = true;
-	node->leader_lease.valid_until = fl_now() + 1000;
-	node->leader_lease.leader_mod_revision =
-		scripted_store_put(FL_KEY_LEADER, cJSON_CreateObject());
-}
-
 static int set_up(void **state)
 {
 	struct fl_node *node = &scenario.node;
@@ -55,34 +45,20 @@
 	                           .cpus = 1,
 	                           .ram_gb = 1,
 	                           .machine_type_count = FL_ANY_MACHINE_TYPE};
-	char key[FL_KEY_MAX];
-	uint64_t revision;
 
 	(void)state;
 	memset(&scenario, 0, sizeof(scenario));
-	scripted_store_begin();
-	sim_time_begin();
 	scenario.config.state_rps = scenario.config.state_write_rps = 100;
 	scenario.config.txn_ops = 8;
-	node->config = &scenario.config;
-	strcpy(node->cluster.teams.by_index[0].name, "t");
-	node->cluster.teams.count = 1;
-	fl_job_lookups_init(node);
-	fl_node_init_store_limits(node);
-	fl_record_write_budget_init(node);
-	begin_leadership(node);
-	fl_key_job(key, REF);
-	revision = scripted_store_put(key, fl_job_record_encode_live(&spec, fl_wall_time()));
-	assert_non_null(fl_job_add(&node->cluster, &spec, fl_wall_time(), revision));
+	scripted_leader_begin(node, &scenario.config);
+	scripted_leader_add_job(node, &spec);
 	return 0;
 }
 
 static int tear_down(void **state)
 {
 	(void)state;
-	virtual_time_end();
-	fl_cluster_free(&scenario.node.cluster);
-	scripted_store_end();
+	scripted_leader_end(&scenario.node);
 	return 0;
 }
 
