Transport: the server's side of a connection is a module of its own

Cause: the next tests play slow and half-sent requests through the code that reads requests, in virtual time.

Change: http_connection.c serves one connection; http_server.c only listens and accepts. Reading and writing of sockets is in socket_io.c, which the simulation can replace. No change of behaviour.

--- a/src/transport/http.c
+++ b/src/transport/http.c
@@ -4,10 +4,10 @@
 #include <limits.h>
 #include <math.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "transport/clock.h"
 #include "transport/coroutine.h"
+#include "transport/socket_io.h"
 
 /* Maximum bytes of a request's path and query; bytes of one read. */
 enum { URL_BYTES_MAX = 8192, READ_BYTES = 8192 };
@@ -149,7 +149,7 @@
 			rc = fl_io_wait(fd, EV_READ, fmax(0, deadline - fl_now()));
 		if (rc)
 			return rc;
-		count = recv(fd, read_buffer, sizeof(read_buffer), 0);
+		count = fl_socket_receive(fd, read_buffer, sizeof(read_buffer));
 		more_expected = count == (ssize_t)sizeof(read_buffer);
 		if (count < 0 && (errno == EAGAIN || errno == EINTR))
 			continue;
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -7,6 +7,7 @@
 
 #include "transport/clock.h"
 #include "transport/coroutine.h"
+#include "transport/socket_io.h"
 
 static const struct {
 	size_t max_body_bytes;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -5,30 +5,7 @@
 #ifndef FL_TRANSPORT_HTTP_SERVER_H
 #define FL_TRANSPORT_HTTP_SERVER_H
 
-#include <stdbool.h>
-
-#include "transport/http.h"
-
-/* A request, valid while its handler runs. */
-struct fl_http_request {
-	enum http_method method;
-	const char *path;  /* without the query */
-	const char *query; /* the text after the question mark, or an empty string */
-	const char *body;  /* NUL-terminated */
-	size_t body_len;
-};
-
-/* A response, which a handler sets. */
-struct fl_http_response {
-	int status;            /* HTTP status; 500 unless the handler sets it */
-	char *body;            /* JSON, malloc'd and owned by the response; NULL: {} */
-	int retry_after_s;     /* value of the Retry-After header; 0: no such header */
-	bool close_connection; /* the connection is closed after this response */
-};
-
-/* Handles one request in the coroutine of its connection, where it may wait. */
-typedef void (*fl_http_handler)(void *context, const struct fl_http_request *request,
-                                struct fl_http_response *response);
+#include "transport/http_connection.h"
 
 struct fl_http_server;
 
--- a/src/transport/socket.c
+++ b/src/transport/socket.c
@@ -10,9 +10,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "transport/clock.h"
-#include "transport/coroutine.h"
-
 int fl_address_parse(const char *text, struct sockaddr_in *out)
 {
 	char host[64];
@@ -52,36 +49,6 @@
 	return fd;
 }
 
-void fl_socket_close(int fd)
-{
-	fl_io_unregister(fd);
-	close(fd);
-}
-
-int fl_write_all(int fd, const char *bytes, size_t count, double timeout_s)
-{
-	double deadline = fl_now() + timeout_s;
-
-	while (count > 0) {
-		ssize_t sent = send(fd, bytes, count, MSG_NOSIGNAL);
-		double remaining_s;
-		int rc;
-
-		if (sent > 0) {
-			bytes += sent;
-			count -= (size_t)sent;
-			continue;
-		}
-		if (sent == 0 || (errno != EAGAIN && errno != EINTR))
-			return -ECONNRESET;
-		remaining_s = deadline - fl_now();
-		rc = remaining_s > 0 ? fl_io_wait(fd, EV_WRITE, remaining_s) : -ETIMEDOUT;
-		if (rc)
-			return rc;
-	}
-	return 0;
-}
-
 int fl_raise_open_file_limit(int count)
 {
 	struct rlimit limit;
--- a/src/transport/socket.h
+++ b/src/transport/socket.h
@@ -11,13 +11,6 @@
 int fl_socket_open(void);
 /* Disables Nagle's algorithm, so that small messages are sent at once. */
 void fl_socket_set_no_delay(int fd);
-/* Closes a socket that the current coroutine has used. */
-void fl_socket_close(int fd);
-/*
- * Writes all bytes, waiting in the current coroutine; returns 0, -ECONNRESET, -ETIMEDOUT or
- * -ECANCELED.
- */
-int fl_write_all(int fd, const char *bytes, size_t count, double timeout_s);
 /* Raises the limit of open files to `count` or as far as permitted; returns the limit. */
 int fl_raise_open_file_limit(int count);
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -14,6 +14,7 @@
 #include "http_fixture.h"
 #include "transport/coroutine.h"
 #include "transport/http_client.h"
+#include "transport/socket_io.h"
 
 enum {
 	CONNECTIONS = 16,
