Tests: slow, cut-off and half-sent requests, which get 400

A repeated submission of an accepted job, whose body came late, got 400 after 4.0 s; users take 400 as final.

--- a/tests/sim.h
+++ b/tests/sim.h
@@ -53,6 +53,21 @@
 bool sim_message_is_held(struct sim_endpoint from, struct sim_endpoint to);
 double sim_message_latency(void);
 
+/* A request as its client sends it. */
+struct sim_text_request {
+	const char *method, *path, *body;
+};
+
+/* Draws whether a request to a controller is sent slowly, under FAULT_SLOW_REQUESTS. */
+bool sim_request_is_slow(struct sim_endpoint from, struct sim_endpoint to);
+/*
+ * Serves a request that arrives late, in pieces or half on a connection of its own. Returns 0 with
+ * the response, or -ECONNRESET if the connection was closed without one.
+ */
+int sim_serve_slow_request(struct sim_endpoint from, const struct sim_text_request *request,
+                           fl_http_handler handler, void *context,
+                           struct fl_http_response *response);
+
 /* ---- controllers ---- */
 
 /* Sets the configuration of a node from the site's parameters in `sim`. */
--- a/tests/sim_coroutines.c
+++ b/tests/sim_coroutines.c
@@ -307,15 +307,6 @@
 		wake(condition->first, 0);
 }
 
-/* The simulation has no sockets. */
-void fl_io_unregister(int fd) { (void)fd; }
-
-int fl_io_wait(int fd, int events, double timeout_s)
-{
-	(void)fd, (void)events, (void)timeout_s;
-	abort();
-}
-
 void fl_coroutines_init(struct ev_loop *loop) { (void)loop; }
 struct ev_loop *fl_event_loop(void) { return NULL; }
 void fl_coroutines_run(void) { abort(); }
--- a/tests/sim_faults.h
+++ b/tests/sim_faults.h
@@ -50,6 +50,8 @@
 	/* The key-value store has `kv_limits` from the start of the fault on, also after its end.
 	 */
 	FAULT_KV_LIMITS_LOWERED = SIM_DRAWN_FAULT_KINDS,
+	/* A share of the users' and workers' requests arrives late, in pieces, half, or twice. */
+	FAULT_SLOW_REQUESTS,
 	SIM_FAULT_KINDS
 };
 
--- a/tests/sim_net.c
+++ b/tests/sim_net.c
@@ -122,6 +122,17 @@
 	}
 }
 
+/* Ends the serving of a call whose reply, if there is one, is in `call->response`. */
+static void finish_call(struct call *call, int result)
+{
+	if (network_ending || call->response.status == SIM_NO_REPLY)
+		release_call(call);
+	else if (fl_coroutine_cancelled() || result != 0)
+		complete_call(call, -ECONNRESET);
+	else
+		send_reply(call);
+}
+
 static void serve_call(void *arg)
 {
 	struct call *call = arg;
@@ -137,12 +148,25 @@
 	sim.requests[call->to.kind]++;
 	if (!fl_coroutine_cancelled())
 		dispatch_request(call, &request);
-	if (network_ending || call->response.status == SIM_NO_REPLY)
-		release_call(call);
-	else if (fl_coroutine_cancelled())
-		complete_call(call, -ECONNRESET);
-	else
-		send_reply(call);
+	finish_call(call, 0);
+}
+
+static void serve_slow_request(void *context, const struct fl_http_request *request,
+                               struct fl_http_response *response)
+{
+	const struct call *call = context;
+
+	sim_node_serve(call->to, request, response);
+}
+
+static void serve_slow_call(void *arg)
+{
+	struct call *call = arg;
+	const struct sim_text_request request = {call->method, call->path, call->body};
+
+	sim.requests[call->to.kind]++;
+	finish_call(call, sim_serve_slow_request(call->from, &request, serve_slow_request, call,
+	                                         &call->response));
 }
 
 static void deliver_request(void *arg)
@@ -157,7 +181,8 @@
 	} else if (!is_up(call->to)) {
 		complete_call(call, -ECONNREFUSED);
 	} else {
-		sim_spawn(is_node(call->to) ? sim_node_process(call->to.index) : 0, serve_call,
+		sim_spawn(is_node(call->to) ? sim_node_process(call->to.index) : 0,
+		          sim_request_is_slow(call->from, call->to) ? serve_slow_call : serve_call,
 		          call);
 	}
 }
--- a/tests/sim_users.c
+++ b/tests/sim_users.c
@@ -38,6 +38,19 @@
 		sim_user_read_all_nodes(job);
 }
 
+static void resubmit(void *arg);
+
+/* A request that is sent twice: the copy goes to any node, at the same time. */
+static void resubmit_if_sent_twice(struct sim_job *job)
+{
+	const struct sim_fault *fault = sim_fault_active(FAULT_SLOW_REQUESTS, -1);
+
+	if (!fault || job->resubmitting || !sim_chance(fault->magnitude))
+		return;
+	job->resubmitting = true;
+	sim_spawn(0, resubmit, job);
+}
+
 static void submit_once(struct sim_job *job)
 {
 	struct user_view before = user_view_of(job);
@@ -46,6 +59,7 @@
 
 	if (job->first_sent_at == 0)
 		job->first_sent_at = sent_at;
+	resubmit_if_sent_twice(job);
 	if (sim_load_balancer_call("POST", "/v2/runs", job->request_body, tunables.submit_timeout_s,
 	                           &reply) != 0)
 		return;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -21,10 +21,11 @@
 	OVERSIZED_BODY_BYTES = 69999, /* above the maximum of a request */
 	LARGE_BODY_BYTES = 60000,
 	BODY_MEMORY_LIMIT_BYTES = 100000, /* enough for one large body but not for two */
-	FULL_SERVER_CONNECTIONS = 32
+	FULL_SERVER_CONNECTIONS = 32,
+	SLOW_PIECES = 20
 };
 
-static const char bad_request[] = "HTTP/1.1 400";
+static const double slow_sending_s = 4.4;
 
 /* What the server and the client record; the test checks it after the run. */
 struct exchange {
@@ -119,12 +120,12 @@
 	return fd;
 }
 
-/* Reads the data that arrives first, within 5 s, and closes the connection. */
+/* Reads the data that arrives first, within 8 s, and closes the connection. */
 static void read_response_and_close(int fd, char *text, size_t size)
 {
 	ssize_t received = 0;
 
-	if (fl_io_wait(fd, EV_READ, 5) == 0)
+	if (fl_io_wait(fd, EV_READ, 8) == 0)
 		received = recv(fd, text, size - 1, 0);
 	text[received > 0 ? received : 0] = 0;
 	fl_socket_close(fd);
@@ -150,19 +151,71 @@
 	send_short_body(address, false, exchange->responses[1], sizeof(exchange->responses[1]));
 }
 
-/* Without an error response the client would wait for 5 s and retry for a minute. */
-static void a_body_shorter_than_its_content_length_is_rejected(void **state)
+static void assert_retried_at_once(const char *response)
+{
+	assert_starts_with(response, "HTTP/1.1 408");
+	assert_non_null(strstr(response, "Connection: close"));
+}
+
+/* Guards against lost jobs: users do not retry 400. Without a response they would wait for 5 s. */
+static void a_body_shorter_than_its_content_length_gets_a_response_that_users_retry(void **state)
 {
 	struct exchange exchange;
 
 	(void)state;
 	run_exchange(&exchange, CONNECTIONS, send_short_bodies);
 
-	assert_starts_with(exchange.responses[0], bad_request);
-	assert_starts_with(exchange.responses[1], bad_request);
+	assert_retried_at_once(exchange.responses[0]);
+	assert_retried_at_once(exchange.responses[1]);
 	assert_int_equal(exchange.served_count, 0);
 }
 
+/* Sends the text evenly over a time that is above four seconds and below the users' five. */
+static void send_slowly(const char *address, const char *text, char *response, size_t size)
+{
+	const size_t length = strlen(text);
+	int fd = connect_to(address);
+
+	for (size_t sent = 0; sent < length;) {
+		size_t count = length / SLOW_PIECES + 1;
+
+		if (count > length - sent)
+			count = length - sent;
+		assert_int_equal(fl_write_all(fd, text + sent, count, 1), 0);
+		sent += count;
+		fl_sleep(slow_sending_s / SLOW_PIECES);
+	}
+	read_response_and_close(fd, response, size);
+}
+
+static void send_slow_requests(const char *address, void *context)
+{
+	struct exchange *exchange = context;
+
+	send_slowly(address,
+	            "POST /x HTTP/1.1\r\nContent-Length: 20\r\n\r\n{\"Ref\":\"run-000412\"}",
+	            exchange->responses[0], sizeof(exchange->responses[0]));
+	send_slowly(address,
+	            "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	            "14\r\n{\"Ref\":\"run-000412\"}\r\n0\r\n\r\n",
+	            exchange->responses[1], sizeof(exchange->responses[1]));
+	send_slowly(address, "GET /x HTTP/1.1\r\nHost: controllers\r\n\r\n", exchange->responses[2],
+	            sizeof(exchange->responses[2]));
+}
+
+/* Guards against `forgotten`: a repeated submission whose body took over 4 s got 400. */
+static void a_request_sent_over_more_than_four_seconds_is_served(void **state)
+{
+	struct exchange exchange;
+
+	(void)state;
+	run_exchange(&exchange, CONNECTIONS, send_slow_requests);
+
+	for (int i = 0; i < 3; i++)
+		assert_starts_with(exchange.responses[i], "HTTP/1.1 200");
+	assert_int_equal(exchange.served_count, 3);
+}
+
 /* Sends the headers of a request with a large body, without the body; returns the socket. */
 static int begin_large_body(const char *address)
 {
@@ -253,7 +306,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(calls_reuse_connections_and_have_size_and_time_limits),
-		cmocka_unit_test(a_body_shorter_than_its_content_length_is_rejected),
+		cmocka_unit_test(
+			a_body_shorter_than_its_content_length_gets_a_response_that_users_retry),
+		cmocka_unit_test(a_request_sent_over_more_than_four_seconds_is_served),
 		cmocka_unit_test(
 			a_body_is_rejected_when_all_bodies_together_reach_the_memory_limit),
 		cmocka_unit_test(a_nearly_full_server_closes_answered_connections),
