Transport: a request that is not whole never gets a status that is final

Cause: a verdict on input that had not arrived. The reader of requests gave up 4 s after the first byte, although users wait 5 s, and took a timeout or the end of the connection for a malformed body. The layer that knows neither jobs nor users gave the final answer. The same class, found beside it: a request that began near the end of its connection's idle time had only the rest of that time; lack of memory was answered 'not HTTP/1.1' with 400; a body was called too large before it was whole.

Change: only a request that was received whole, or whose bytes are not HTTP whatever follows, gets 400. One that is late or cut off gets 408, which users retry; 413, 431 and 503 replace 400 in the other cases. A request has 6 s from its first byte, and a sender that never pauses is bounded by it, too. Body memory is reserved as bytes arrive. When it is used up, or all connections are taken, the slowest incomplete requests are evicted without a response. A line, at most one a second, tells of requests that were not read in full: peer, bytes received and expected, seconds, reason, status and how many there were.

--- a/src/transport/http.c
+++ b/src/transport/http.c
@@ -7,6 +7,7 @@
 
 #include "transport/clock.h"
 #include "transport/coroutine.h"
+#include "transport/incomplete_requests.h"
 #include "transport/socket_io.h"
 
 /* Maximum bytes of a request's path and query; bytes of one read. */
@@ -18,13 +19,28 @@
  */
 enum { PARSER_CONTINUE = 0, PARSER_ABORT = -1 };
 
+/* Ends the read with this error. */
+static int abort_parsing(struct fl_http_message *message, int error)
+{
+	message->callback_error = error;
+	return PARSER_ABORT;
+}
+
+static int append(struct fl_http_message *message, struct fl_buffer *buffer, const char *bytes,
+                  size_t count)
+{
+	if (fl_buffer_append(buffer, bytes, count) != 0)
+		return abort_parsing(message, -ENOMEM);
+	return PARSER_CONTINUE;
+}
+
 static int on_url(http_parser *parser, const char *bytes, size_t count)
 {
 	struct fl_http_message *message = parser->data;
 
 	if (message->url.length + count > URL_BYTES_MAX)
-		return PARSER_ABORT;
-	return fl_buffer_append(&message->url, bytes, count) ? PARSER_ABORT : PARSER_CONTINUE;
+		return abort_parsing(message, -ENAMETOOLONG);
+	return append(message, &message->url, bytes, count);
 }
 
 /* Bytes of the bodies of requests that are being read or served; a limit of 0 means no limit. */
@@ -34,42 +50,57 @@
 
 void fl_http_set_body_memory_limit(size_t bytes) { body_memory.limit = bytes; }
 
+/* Reserves memory for bytes that have arrived; evicts slower requests if there is too little. */
 static bool reserve_body_memory(struct fl_http_message *message, size_t bytes)
 {
-	if (body_memory.limit > 0 && bytes > 0 && body_memory.reserved + bytes > body_memory.limit)
-		return false;
+	while (body_memory.limit > 0 && body_memory.reserved + bytes > body_memory.limit) {
+		const struct fl_http_message *slowest =
+			fl_incomplete_requests_evict_slowest(NULL, 0, message);
+
+		if (!slowest || slowest == message)
+			return false;
+	}
 	body_memory.reserved += bytes;
-	message->reserved_bytes = bytes;
+	message->reserved_bytes += bytes;
 	return true;
 }
 
+/*
+ * Marks the body as too large. The rest of it is read and discarded if a whole request is to be
+ * told from one that is cut off, within a limit.
+ */
+static int on_body_too_large(struct fl_http_message *message, uint64_t bytes)
+{
+	message->too_large = true;
+	fl_http_message_free_body(message);
+	if (message->max_discarded_bytes == 0)
+		return abort_parsing(message, -EMSGSIZE);
+	if (bytes > message->max_discarded_bytes)
+		return abort_parsing(message, -EFBIG);
+	return PARSER_CONTINUE;
+}
+
 static int on_headers(http_parser *parser)
 {
 	struct fl_http_message *message = parser->data;
-	bool length_known = parser->content_length != ULLONG_MAX;
-	size_t bytes = length_known ? (size_t)parser->content_length : 0;
 
-	if (length_known && parser->content_length > message->max_body_bytes) {
-		message->too_large = true;
-		return PARSER_ABORT;
-	}
-	if (parser->type != HTTP_REQUEST)
+	message->expected_body_bytes = parser->content_length;
+	if (parser->content_length == ULLONG_MAX ||
+	    parser->content_length <= message->max_body_bytes)
 		return PARSER_CONTINUE;
-	if (parser->flags & F_CHUNKED)
-		bytes = message->max_body_bytes;
-	message->body_memory_exhausted = !reserve_body_memory(message, bytes);
-	return message->body_memory_exhausted ? PARSER_ABORT : PARSER_CONTINUE;
+	return on_body_too_large(message, parser->content_length);
 }
 
 static int on_body(http_parser *parser, const char *bytes, size_t count)
 {
 	struct fl_http_message *message = parser->data;
 
-	if (message->body.length + count > message->max_body_bytes) {
-		message->too_large = true;
-		return PARSER_ABORT;
-	}
-	return fl_buffer_append(&message->body, bytes, count) ? PARSER_ABORT : PARSER_CONTINUE;
+	message->body_bytes += count;
+	if (message->body_bytes > message->max_body_bytes)
+		return on_body_too_large(message, message->body_bytes);
+	if (parser->type == HTTP_REQUEST && !reserve_body_memory(message, count))
+		return abort_parsing(message, -ENOBUFS);
+	return append(message, &message->body, bytes, count);
 }
 
 static int on_complete(http_parser *parser)
@@ -96,16 +127,22 @@
 	http_parser_init(&message->parser, type);
 	message->parser.data = message;
 	message->max_body_bytes = max_body_bytes;
+	message->expected_body_bytes = UINT64_MAX;
 }
 
-void fl_http_message_free(struct fl_http_message *message)
+void fl_http_message_free_body(struct fl_http_message *message)
 {
-	fl_buffer_free(&message->url);
 	fl_buffer_free(&message->body);
 	body_memory.reserved -= message->reserved_bytes;
 	message->reserved_bytes = 0;
 }
 
+void fl_http_message_free(struct fl_http_message *message)
+{
+	fl_buffer_free(&message->url);
+	fl_http_message_free_body(message);
+}
+
 /*
  * The buffer that all coroutines read into; no coroutine waits between a read and the parsing of
  * its bytes. A buffer on the stack of each connection stayed in memory while the connection was
@@ -113,56 +150,94 @@
  */
 static char read_buffer[READ_BYTES];
 
+/* Returns 0 or the negative errno for the parser's state after bytes that it did not accept. */
+static int parser_error(const struct fl_http_message *message)
+{
+	enum http_errno error = HTTP_PARSER_ERRNO(&message->parser);
+
+	if (error == HPE_OK)
+		return 0;
+	if (error == HPE_HEADER_OVERFLOW)
+		return -ENAMETOOLONG;
+	return message->callback_error ? message->callback_error : -EPROTO;
+}
+
 /* Parses the `count` bytes read, 0 at the end of the connection; returns 0 or a negative errno. */
 static int parse_read_bytes(struct fl_http_message *message, size_t count)
 {
-	size_t parsed =
-		http_parser_execute(&message->parser, &parser_callbacks, read_buffer, count);
+	size_t parsed;
 
-	if (message->too_large)
-		return -EMSGSIZE;
-	if (message->body_memory_exhausted)
-		return -ENOBUFS;
-	if (message->complete)
-		return 0;
+	/* The parser would take the end of the connection for the end of some responses. */
 	if (count == 0)
 		return -ECONNRESET;
-	if (HTTP_PARSER_ERRNO(&message->parser) != HPE_OK || parsed != count)
-		return -EPROTO;
-	return 0;
+	message->received_bytes += count;
+	parsed = http_parser_execute(&message->parser, &parser_callbacks, read_buffer, count);
+	if (!message->complete)
+		return parser_error(message);
+	/* Nobody pipelines: the bytes of a next message would be lost, or taken for its answer. */
+	if (parsed != count)
+		message->keep_alive = false;
+	return message->too_large ? -EMSGSIZE : 0;
+}
+
+/* When a read ends if the message is not whole by then. */
+struct read_limit {
+	double deadline;
+	bool more_expected; /* the last read filled the buffer: more has probably arrived */
+	bool last_wait;     /* the deadline has passed; only bytes that have arrived are read */
+};
+
+static void on_first_byte(struct fl_http_message *message, int fd, struct read_limit *limit)
+{
+	message->started = true;
+	message->started_at = fl_now();
+	if (message->remainder_timeout_s > 0)
+		limit->deadline = message->started_at + message->remainder_timeout_s;
+	if (message->parser.type == HTTP_REQUEST)
+		fl_incomplete_requests_add(message, fd);
+}
+
+/*
+ * Waits for bytes. The wait comes before the read, since a message has rarely arrived at that
+ * point. Bytes that have arrived by the deadline are read even if this process noticed them later.
+ */
+static int wait_for_bytes(const struct fl_http_message *message, int fd, struct read_limit *limit)
+{
+	double remaining_s = limit->deadline - fl_now();
+	int rc;
+
+	if (limit->more_expected)
+		return 0;
+	if (limit->last_wait)
+		return -ETIMEDOUT;
+	limit->last_wait = remaining_s <= 0;
+	rc = fl_io_wait(fd, EV_READ, fmax(0, remaining_s));
+	return message->evicted ? -ECONNABORTED : rc;
+}
+
+/* Reads and parses bytes that have arrived; returns 0 or a negative errno. */
+static int read_bytes(struct fl_http_message *message, int fd, struct read_limit *limit)
+{
+	ssize_t count = fl_socket_receive(fd, read_buffer, sizeof(read_buffer));
+
+	limit->more_expected = count == (ssize_t)sizeof(read_buffer);
+	if (count < 0)
+		return errno == EAGAIN || errno == EINTR ? 0 : -ECONNRESET;
+	if (count > 0 && !message->started)
+		on_first_byte(message, fd, limit);
+	return parse_read_bytes(message, (size_t)count);
 }
 
 int fl_http_message_read(struct fl_http_message *message, int fd, double timeout_s)
 {
-	double deadline = fl_now() + timeout_s;
-	bool more_expected = false; /* the last read filled the buffer: more has probably arrived */
-
-	while (!message->complete) {
-		ssize_t count;
-		int rc = 0;
-
-		/*
-		 * The wait comes before the read, since a message has rarely arrived at this point.
-		 * Bytes that have arrived are read even after the deadline.
-		 */
-		if (!more_expected)
-			rc = fl_io_wait(fd, EV_READ, fmax(0, deadline - fl_now()));
-		if (rc)
-			return rc;
-		count = fl_socket_receive(fd, read_buffer, sizeof(read_buffer));
-		more_expected = count == (ssize_t)sizeof(read_buffer);
-		if (count < 0 && (errno == EAGAIN || errno == EINTR))
-			continue;
-		if (count < 0)
-			return -ECONNRESET;
-		if (count > 0 && !message->started) {
-			message->started = true;
-			if (message->remainder_timeout_s > 0)
-				deadline = fmin(deadline, fl_now() + message->remainder_timeout_s);
-		}
-		rc = parse_read_bytes(message, (size_t)count);
-		if (rc)
-			return rc;
+	struct read_limit limit = {.deadline = fl_now() + timeout_s};
+	int rc = 0;
+
+	while (!message->complete && !rc) {
+		rc = wait_for_bytes(message, fd, &limit);
+		if (!rc)
+			rc = read_bytes(message, fd, &limit);
 	}
-	return 0;
+	fl_incomplete_requests_remove(message);
+	return rc;
 }
--- a/src/transport/http_connection.c
+++ b/src/transport/http_connection.c
@@ -1,29 +1,36 @@
 #include "transport/http_connection.h"
 
 #include <errno.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "transport/clock.h"
 #include "transport/coroutine.h"
+#include "transport/log.h"
 #include "transport/socket_io.h"
 
 static const struct {
 	double write_timeout_s;
-	size_t max_body_bytes;
-	double remainder_timeout_s, discard_read_timeout_s;
+	size_t max_body_bytes, max_discarded_bytes;
+	double remainder_timeout_s, discard_timeout_s;
 	int single_response_divisor, retry_after_s;
+	double log_interval_s;
 } tunables = {
 	.write_timeout_s = 5.0,              /* users wait 2 to 5 s for a response, and no longer */
 	.max_body_bytes = (size_t)64 * 1024, /* the protocol's limit */
-	.remainder_timeout_s = 4.0,          /* from first to last byte; no client waits longer */
-	.discard_read_timeout_s = 1.0,       /* for each read of a body that is discarded */
+	.max_discarded_bytes = (size_t)1024 * 1024,
+	/* From first to last byte; users wait 5 s, counted from before the first byte arrives. */
+	.remainder_timeout_s = 6.0,
+	.discard_timeout_s = 1.0,      /* for a client that is still sending after its response */
 	.single_response_divisor = 32, /* above 31/32 of the limit, one response per connection */
 	.retry_after_s = 1,            /* sent while the request body memory limit is reached */
+	.log_interval_s = 1.0,         /* between lines about requests that were not read in full */
 };
 
-/* Maximum number of reads of a body that is discarded, and the bytes of each read. */
-enum { DISCARD_READS_MAX = 200, DISCARD_READ_BYTES = 8192 };
+/* Bytes of each read of a body that is discarded. */
+enum { DISCARD_READ_BYTES = 8192 };
 
 /* Characters of an int in decimal, with its sign. */
 enum { INT_DIGITS = 11 };
@@ -74,67 +81,121 @@
 	return fl_coroutines_overloaded() && fl_socket_peer_has_closed(fd);
 }
 
+/* The response to a request that was not read; its status is 0 if it gets none. */
+struct read_error_response {
+	int status;
+	const char *body;
+	const char *reason; /* for the log */
+};
+
 /*
- * Returns the body of the response to a malformed request; NULL for other errors. The status is
- * always 400: users retry after any other error status, and a malformed request stays malformed. A
- * body shorter than its Content-Length is malformed, too, if its client has closed the connection
- * or sends nothing more. A client that has sent nothing at all gets no response.
+ * Returns the response to a request whose reading failed with `rc`. Users do not retry after 400,
+ * so only a request that was received whole, or whose bytes are not HTTP whatever follows, gets it.
+ * A request that is cut off or late may be a submission of an accepted job: its user must retry.
  */
-static const char *malformed_request_error(const struct fl_http_message *message, int rc)
+static struct read_error_response response_to_read_error(const struct fl_http_message *message,
+                                                         int rc)
 {
 	switch (rc) {
 	case -EMSGSIZE:
-		return "{\"error\":\"body over 64 KiB\"}";
+		return (struct read_error_response){400, "{\"error\":\"body over 64 KiB\"}",
+		                                    "body too large"};
 	case -EPROTO:
-		return "{\"error\":\"not HTTP/1.1\"}";
+		return (struct read_error_response){400, "{\"error\":\"not HTTP/1.1\"}",
+		                                    "not HTTP"};
+	case -EFBIG:
+		return (struct read_error_response){
+			413, "{\"error\":\"body over 64 KiB, and not read to its end\"}",
+			"body too large"};
+	case -ENAMETOOLONG:
+		return (struct read_error_response){431, "{\"error\":\"path or headers too long\"}",
+		                                    "headers too large"};
+	case -ENOBUFS:
+	case -ENOMEM:
+		return (struct read_error_response){
+			503, "{\"error\":\"request body memory limit reached\"}", "memory"};
+	case -ECONNABORTED:
+		return (struct read_error_response){.reason = "evicted as the slowest"};
 	case -ECONNRESET:
 	case -ETIMEDOUT:
-		return message->started ? "{\"error\":\"body shorter than Content-Length\"}" : NULL;
+		if (message->started)
+			return (struct read_error_response){
+				408, "{\"error\":\"the request did not arrive in full\"}",
+				rc == -ETIMEDOUT ? "timed out" : "connection ended"};
+		break;
 	default:
-		return NULL;
+		break;
 	}
+	return (struct read_error_response){0};
+}
+
+static void format_expected_bytes(const struct fl_http_message *message, char out[24])
+{
+	if (message->expected_body_bytes == UINT64_MAX)
+		snprintf(out, 24, "unknown");
+	else
+		snprintf(out, 24, "%llu", (unsigned long long)message->expected_body_bytes);
+}
+
+/* Logs a request that was not read in full, and how many there were. Not inlined: see below. */
+static __attribute__((noinline)) void log_read_error(int fd, const struct fl_http_message *message,
+                                                     const struct read_error_response *error)
+{
+	static struct fl_log_limit limit;
+	static unsigned long long total;
+	char peer[32], expected[24];
+	unsigned suppressed;
+
+	total++;
+	if (!fl_log_limit_take(&limit, tunables.log_interval_s, fl_now(), &suppressed))
+		return;
+	fl_socket_peer_name(fd, peer, sizeof(peer));
+	format_expected_bytes(message, expected);
+	fl_info("transport",
+	        "request not read in full peer=%s received_bytes=%zu body_bytes=%zu "
+	        "expected_body_bytes=%s seconds=%.2f reason=\"%s\" status=%d total=%llu "
+	        "suppressed=%u",
+	        peer, message->received_bytes, message->body_bytes, expected,
+	        message->started ? fl_now() - message->started_at : 0, error->reason, error->status,
+	        total, suppressed);
 }
 
 /*
- * Reads and discards the rest of a request's body, so that the response reaches a client that is
- * still sending: an early close would reset the connection. Not inlined, since the buffer would
- * then be part of the stack of every idle connection.
+ * Reads and discards the rest of a request's body for a while, so that the response reaches a
+ * client that is still sending: an early close would reset the connection. Not inlined, since the
+ * buffer would then be part of the stack of every idle connection.
  */
 static __attribute__((noinline)) void discard_body(int fd)
 {
-	for (int i = 0; i < DISCARD_READS_MAX; i++) {
+	double deadline = fl_now() + tunables.discard_timeout_s;
+
+	while (fl_now() < deadline) {
 		char discarded[DISCARD_READ_BYTES];
 		ssize_t count = fl_socket_receive(fd, discarded, sizeof(discarded));
 
 		if (count == 0 || (count < 0 && errno != EAGAIN))
 			break;
-		if (count < 0 && fl_io_wait(fd, EV_READ, tunables.discard_read_timeout_s) != 0)
+		if (count < 0 && fl_io_wait(fd, EV_READ, fmax(0, deadline - fl_now())) != 0)
 			break;
 	}
 }
 
-/* Responds to a request that was not read in full; the connection cannot be used again. */
-static void reject_request(int fd, int status, const char *body)
-{
-	struct fl_http_response response = {.status = status,
-	                                    .body = (char *)body,
-	                                    .retry_after_s =
-	                                            status == 503 ? tunables.retry_after_s : 0};
-
-	send_response(fd, &response, false);
-	fl_socket_stop_sending(fd);
-}
-
 /* Responds, where a response is due, to a request whose reading failed with `rc`. */
 static void respond_read_error(int fd, const struct fl_http_message *message, int rc)
 {
-	const char *malformed = malformed_request_error(message, rc);
-
-	if (malformed)
-		reject_request(fd, 400, malformed);
-	else if (rc == -ENOBUFS)
-		reject_request(fd, 503, "{\"error\":\"request body memory limit reached\"}");
-	if (rc == -EMSGSIZE || rc == -ENOBUFS)
+	const struct read_error_response error = response_to_read_error(message, rc);
+	const struct fl_http_response response = {
+		.status = error.status,
+		.body = (char *)error.body,
+		.retry_after_s = error.status == 503 ? tunables.retry_after_s : 0};
+
+	if (error.reason)
+		log_read_error(fd, message, &error);
+	if (error.status == 0)
+		return;
+	send_response(fd, &response, false);
+	fl_socket_stop_sending(fd);
+	if (rc == -EFBIG || rc == -ENOBUFS)
 		discard_body(fd);
 }
 
@@ -165,7 +226,9 @@
 	int rc;
 
 	fl_http_message_init(&message, HTTP_REQUEST, tunables.max_body_bytes);
+	message.max_discarded_bytes = tunables.max_discarded_bytes;
 	message.remainder_timeout_s = tunables.remainder_timeout_s;
+	message.endpoint = endpoint;
 	rc = fl_http_message_read(&message, fd, endpoint->idle_timeout_s);
 	if (rc)
 		respond_read_error(fd, &message, rc);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -6,15 +6,19 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "transport/clock.h"
 #include "transport/coroutine.h"
+#include "transport/incomplete_requests.h"
 #include "transport/log.h"
 #include "transport/socket.h"
 #include "transport/socket_io.h"
 
 static const struct {
-	double accept_retry_s;
+	double accept_retry_s, slow_request_s, log_interval_s;
 } tunables = {
 	.accept_retry_s = 0.05, /* without this delay, failing accepts would spin */
+	.slow_request_s = 0.1, /* the bytes of a request from a client that is not slow take less */
+	.log_interval_s = 1.0, /* between lines about rejected connections */
 };
 
 /* Maximum number of connections that the kernel queues until they are accepted. */
@@ -60,6 +64,26 @@
 	return true;
 }
 
+/* At the connection limit, evicts the slowest request, and lets its connection end. */
+static void make_room(const struct fl_http_endpoint *endpoint)
+{
+	if (endpoint->connection_count >= endpoint->connection_limit &&
+	    fl_incomplete_requests_evict_slowest(endpoint, tunables.slow_request_s, NULL))
+		fl_sleep(0);
+}
+
+static void log_rejected_connection(const struct fl_http_endpoint *endpoint)
+{
+	static struct fl_log_limit limit;
+	unsigned suppressed;
+
+	if (fl_log_limit_take(&limit, tunables.log_interval_s, fl_now(), &suppressed))
+		fl_error("transport",
+		         "connection rejected: limit reached or out of memory open=%d limit=%d "
+		         "suppressed=%u",
+		         endpoint->connection_count, endpoint->connection_limit, suppressed);
+}
+
 static void accept_connections(void *arg)
 {
 	struct fl_http_server *server = arg;
@@ -75,11 +99,10 @@
 			continue;
 		}
 		fl_socket_set_no_delay(fd);
+		make_room(&server->endpoint);
 		if (start_connection(&server->endpoint, fd))
 			continue;
-		fl_error("transport",
-		         "connection rejected: limit reached or out of memory open=%d limit=%d",
-		         server->endpoint.connection_count, server->endpoint.connection_limit);
+		log_rejected_connection(&server->endpoint);
 		close(fd);
 	}
 	fl_socket_close(server->fd);
--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -42,3 +42,15 @@
 	if (write(STDERR_FILENO, line, (size_t)length) < 0)
 		return;
 }
+
+bool fl_log_limit_take(struct fl_log_limit *limit, double interval_s, double now,
+                       unsigned *suppressed)
+{
+	if (limit->used && now < limit->last_written_at + interval_s) {
+		limit->suppressed++;
+		return false;
+	}
+	*suppressed = limit->suppressed;
+	*limit = (struct fl_log_limit){.used = true, .last_written_at = now};
+	return true;
+}
--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -18,6 +18,20 @@
 void fl_log(enum fl_log_level level, const char *area, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
+/* Limits how often a line that clients can cause is written. Zero-initialised: none was written. */
+struct fl_log_limit {
+	bool used;
+	double last_written_at;
+	unsigned suppressed;
+};
+
+/*
+ * Returns whether a line may be written at `now` (monotonic clock, s), `interval_s` after the last
+ * one at the earliest; sets `*suppressed` to the number of lines left out since then.
+ */
+bool fl_log_limit_take(struct fl_log_limit *limit, double interval_s, double now,
+                       unsigned *suppressed);
+
 #define fl_error(area, ...) fl_log(FL_LOG_ERROR, area, __VA_ARGS__)
 #define fl_info(area, ...)                                                                         \
 	do {                                                                                       \
--- a/src/transport/socket_io.c
+++ b/src/transport/socket_io.c
@@ -1,6 +1,9 @@
 #include "transport/socket_io.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,6 +22,28 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+bool fl_socket_has_unread_bytes(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void fl_socket_stop_receiving(int fd) { shutdown(fd, SHUT_RD); }
+
+void fl_socket_peer_name(int fd, char *out, size_t size)
+{
+	struct sockaddr_in address = {0};
+	socklen_t length = sizeof(address);
+	char host[INET_ADDRSTRLEN];
+
+	if (getpeername(fd, (struct sockaddr *)&address, &length) == 0 &&
+	    inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host)))
+		snprintf(out, size, "%s:%d", host, ntohs(address.sin_port));
+	else
+		snprintf(out, size, "unknown");
+}
+
 void fl_socket_stop_sending(int fd) { shutdown(fd, SHUT_WR); }
 
 void fl_socket_close(int fd)
--- a/src/transport/socket_io.h
+++ b/src/transport/socket_io.h
@@ -21,8 +21,15 @@
 int fl_write_all(int fd, const char *bytes, size_t count, double timeout_s);
 /* Returns whether the peer has closed the connection and all bytes that it sent were read. */
 bool fl_socket_peer_has_closed(int fd);
+/* Returns whether bytes have arrived that were not read. */
+bool fl_socket_has_unread_bytes(int fd);
+/* Ends the receiving side: a coroutine that waits for bytes is woken, as at the connection's end.
+ */
+void fl_socket_stop_receiving(int fd);
 /* Tells the peer that no more bytes will be sent; bytes from the peer can still be read. */
 void fl_socket_stop_sending(int fd);
+/* Writes the peer's address, "1.2.3.4:80", or "unknown" if the socket is not connected. */
+void fl_socket_peer_name(int fd, char *out, size_t size);
 /* Closes a socket that the current coroutine has used. */
 void fl_socket_close(int fd);
 
--- a/tests/fault_combinations_load.c
+++ b/tests/fault_combinations_load.c
@@ -137,7 +137,29 @@
 	inject_cancel_running(start_s + sim_random_between(1, 6), 4, 0);
 }
 
+/* Users and workers send late, in pieces, half and twice, while leaders fail. */
+static void slow_requests(int variant)
+{
+	SIM_INJECT(FAULT_SLOW_REQUESTS, .start_s = 5, .duration_s = 110,
+	           .magnitude = variant % 2 ? 0.7 : 0.35);
+	SIM_INJECT(FAULT_INVALID_REQUESTS, .start_s = 15, .duration_s = 90);
+	SIM_INJECT(FAULT_SUBMISSION_BURST, .start_s = 20, .duration_s = 1, .count = 20);
+	inject_leader_down_within(35, 15, sim_random_between(1, 9));
+	inject_cancel_running(sim_random_between(30, 60), 6, 0);
+	if (variant % 3 == 1)
+		SIM_INJECT(FAULT_KV_UNAVAILABLE, .start_s = 60, .duration_s = 8);
+	if (variant % 3 == 2)
+		SIM_INJECT(FAULT_SLOW_LINKS, .start_s = 25, .duration_s = 50, .magnitude = 0.4);
+	inject_leader_down_within(75, 15, sim_random_between(1, 9));
+}
+
 static const struct combination combinations[] = {
+	{.name = "slow_requests",
+         .seed_name = "slow_requests",
+         .inject_faults = slow_requests,
+         .first_variant = 0,
+         .variant_count = 6,
+         .protects = "http_connection.c: a request that is not whole gets no final status"},
 	{.name = "quota_reached_at_failover",
          .seed_name = "at_limit",
          .inject_faults = quota_reached_at_failover,
--- a/tests/sim_sockets.c
+++ b/tests/sim_sockets.c
@@ -3,6 +3,7 @@
 
 #include <errno.h>
 #include <math.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -173,6 +174,23 @@
 	return has_ended(socket) && socket->read_count == socket->input_length;
 }
 
+bool fl_socket_has_unread_bytes(int fd)
+{
+	const struct socket *socket = socket_of(fd);
+
+	return bytes_of_pieces(socket, pieces_arrived(socket)) > socket->read_count;
+}
+
+void fl_socket_stop_receiving(int fd)
+{
+	struct socket *socket = socket_of(fd);
+
+	socket->receiving_stopped = true;
+	fl_condition_broadcast(&socket->changed);
+}
+
+void fl_socket_peer_name(int fd, char *out, size_t size) { snprintf(out, size, "socket-%d", fd); }
+
 void fl_socket_stop_sending(int fd) { (void)fd; }
 
 void fl_socket_close(int fd) { socket_of(fd)->closed_at = fl_now(); }
