Replies: one that is cut off is neither a whole reply nor a refusal

What callers would see: a reply without a length whose connection ended counted as whole, so a 404 of the key-value store that was cut off called an accepted job unknown, and a 409 a write refused.

Cause: the parser takes the end of a connection for the end of such a reply. The status line alone decided, whatever the body was. A page that announces more keys and has none ended a list as if it were complete, and a watch went on after a reply that lacks its changes.

The 404 of a key and the 409 of a transaction need the store's revision, as the protocol has it; contradictory pages and watch replies leave the outcome open. The server for other controllers answers 501 for a path it does not know, since 404 means there that no such job exists. Two fixtures answered 404 without the revision: they follow the protocol now.

--- a/src/coordination/request_router.c
+++ b/src/coordination/request_router.c
@@ -138,6 +138,7 @@
 	} else if (strcmp(path, FL_PATH_FORWARD) == 0) {
 		serve_forwarded_request(node, request, response);
 	} else {
-		fl_respond_error(response, 404, "no such path");
+		/* Not 404, which on this server means that no such job exists. */
+		fl_respond_error(response, 501, "no such path");
 	}
 }
--- a/src/protocol/kv_store.c
+++ b/src/protocol/kv_store.c
@@ -151,6 +151,21 @@
 	return result;
 }
 
+/*
+ * Returns the result of a reply, but an unknown outcome for a `refusal` that lacks the
+ * store's revision: a 404 or 409 of anything but the store would make a job unknown.
+ */
+static enum fl_kv_result require_revision(enum fl_kv_result result, enum fl_kv_result refusal,
+                                          const cJSON *object)
+{
+	uint64_t store_revision;
+
+	if (result == refusal &&
+	    fl_json_get_uint(object, "LedgerRev", &store_revision) != FL_JSON_OK)
+		return FL_KV_OUTCOME_UNKNOWN;
+	return result;
+}
+
 enum fl_kv_result fl_kv_get(struct fl_kv_store *store, const char *key, cJSON **value,
                             uint64_t *revision, uint64_t *lease_id)
 {
@@ -167,6 +182,7 @@
 		&object);
 	if (result == FL_KV_OK && fl_json_get_uint(object, "KeyRev", revision) != FL_JSON_OK)
 		result = FL_KV_OUTCOME_UNKNOWN;
+	result = require_revision(result, FL_KV_NOT_FOUND, object);
 	if (result == FL_KV_OK) {
 		if (!lease_id)
 			lease_id = &ignored_lease_id;
@@ -225,17 +241,15 @@
                                    void *context, const cJSON *object)
 {
 	const cJSON *items = fl_json_get(object, "Items");
-	enum fl_kv_result result;
 
 	/* Without `More`, a truncated list would be taken for a complete one. */
 	if (!cJSON_IsArray(items) ||
 	    fl_json_get_bool(object, "More", &reader->more) != FL_JSON_OK ||
 	    fl_json_get_uint(object, "LedgerRev", &reader->revision) != FL_JSON_OK)
 		return FL_KV_OUTCOME_UNKNOWN;
-	result = deliver_items(items, on_event, context, reader->last_key);
-	if (cJSON_GetArraySize(items) == 0)
-		reader->more = false;
-	return result;
+	if (reader->more && cJSON_GetArraySize(items) == 0)
+		return FL_KV_OUTCOME_UNKNOWN;
+	return deliver_items(items, on_event, context, reader->last_key);
 }
 
 static enum fl_kv_result fetch_page(struct list_reader *reader, fl_kv_event_fn on_event,
@@ -318,7 +332,8 @@
 			result = FL_KV_OUTCOME_UNKNOWN;
 		else
 			result = deliver_events(events, watch->on_event, watch->context);
-		if (result == FL_KV_OK && new_revision > *revision)
+		/* Without a list of changes, those up to the new revision may be missing. */
+		if (result == FL_KV_OK && events && new_revision > *revision)
 			*revision = new_revision;
 	}
 	cJSON_Delete(object);
@@ -402,6 +417,7 @@
 	free(text);
 	if (result == FL_KV_OK && fl_json_get_uint(object, "LedgerRev", revision) != FL_JSON_OK)
 		result = FL_KV_OUTCOME_UNKNOWN;
+	result = require_revision(result, FL_KV_COMPARE_FAILED, object);
 	if (result == FL_KV_COMPARE_FAILED && failed_key) {
 		const cJSON *first = cJSON_GetArrayItem(fl_json_get(object, "failed"), 0);
 
--- a/tests/contract_store_fixture.c
+++ b/tests/contract_store_fixture.c
@@ -44,7 +44,7 @@
 			                 store_fixture.stored[i].lease_id);
 			return 200;
 		}
-	fl_buffer_printf(body, "{}");
+	fl_buffer_printf(body, "{\"LedgerRev\":431}");
 	return 404;
 }
 
--- a/tests/frontend_fixture.c
+++ b/tests/frontend_fixture.c
@@ -57,6 +57,7 @@
 		if (fixture->reads_gated)
 			fl_condition_wait(&fixture->read_gate, -1);
 		response->status = 404;
+		fl_buffer_printf(&body, "{\"LedgerRev\":9}");
 	}
 	response->body = body.data;
 }
--- a/tests/test_contract_kv.c
+++ b/tests/test_contract_kv.c
@@ -116,6 +116,20 @@
 	assert_string_equal(got.events[0].text, "c/6 401 {\"n\":1}\nc/7 402 \"two\"\nc/8 403 3\n");
 }
 
+/* A page that announces more keys and has none must not end the list as if it were complete. */
+static void a_list_is_not_complete_while_more_keys_are_announced(void **state)
+{
+	static const struct contract_exchange script[] = {
+		{"GET /keys?Prefix=c/&Page=1000\n", 200,
+	         "{\"Items\":[],\"More\":true,\"LedgerRev\":431}"},
+	};
+	struct event_results got = {0};
+
+	(void)state;
+	contract_run_exchanges(list_keys, &got, script, COUNT_OF(script));
+	assert_int_equal(got.rc[0], FL_KV_OUTCOME_UNKNOWN);
+}
+
 static void watch_keys(const char *address, void *results)
 {
 	struct event_results *got = results;
@@ -150,6 +164,39 @@
 	assert_int_equal(got.mod_revision[1], 17);
 }
 
+/* Changes that a reply lacks would be skipped for good if the watch went on after them. */
+static void a_watch_reply_without_its_log_is_not_skipped(void **state)
+{
+	static const struct contract_exchange script[] = {
+		{"GET /follow?Prefix=c/&From=431&HoldMs=2500\n", 200, "{\"LedgerRev\":434}"},
+		{"GET /follow?Prefix=c/&From=17&HoldMs=2500\n", 200, "{\"Log\":[]}"},
+	};
+	struct event_results got = {.mod_revision = {431, 17}};
+
+	(void)state;
+	contract_run_exchanges(watch_keys, &got, script, COUNT_OF(script));
+	assert_int_equal(got.mod_revision[0], 431);
+	assert_int_equal(got.rc[1], FL_KV_OUTCOME_UNKNOWN);
+	assert_int_equal(got.mod_revision[1], 17);
+}
+
+/* A job would be called unknown, or a write refused, by a reply of something other than the store.
+ */
+static void a_refusal_without_a_revision_shows_nothing(void **state)
+{
+	static const struct contract_exchange keys[] = {
+		{"GET /keys/a/b\n", 404, "{}"},
+		{"GET /keys/a/c\n", 404, "{\"LedgerRev\":"},
+		{"GET /keys/a/none\n", 404, ""},
+	};
+	struct get_results got = {0};
+
+	(void)state;
+	contract_run_exchanges(read_keys, &got, keys, COUNT_OF(keys));
+	for (int i = 0; i < 3; i++)
+		assert_int_equal(got.rc[i], FL_KV_OUTCOME_UNKNOWN);
+}
+
 struct txn_results {
 	int rc[3];
 	uint64_t mod_revision[3];
@@ -278,7 +325,7 @@
 	(void)state;
 	for (int i = 0; i < COUNT_OF(refusals); i++) {
 		const struct contract_exchange script[] = {
-			{"GET /keys/a/b\n", 404, "{}"},
+			{"GET /keys/a/b\n", 404, "{\"LedgerRev\":431}"},
 			{"POST /multi\n{\"When\":[],\"Apply\":[]}", refusals[i], "{}"},
 		};
 		enum fl_kv_result result = FL_KV_OK;
@@ -342,7 +389,10 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_key_is_read_with_its_revision_and_lease),
 		cmocka_unit_test(keys_are_listed_page_by_page),
+		cmocka_unit_test(a_list_is_not_complete_while_more_keys_are_announced),
 		cmocka_unit_test(a_watch_returns_writes_and_deletions),
+		cmocka_unit_test(a_watch_reply_without_its_log_is_not_skipped),
+		cmocka_unit_test(a_refusal_without_a_revision_shows_nothing),
 		cmocka_unit_test(a_transaction_has_conditions_writes_deletions_and_leases),
 		cmocka_unit_test(a_refused_transaction_above_the_announced_limits_is_too_large),
 		cmocka_unit_test(a_write_that_was_sent_twice_is_not_known_to_be_refused),
