Submissions: unknown fields may hold anything that JSON allows

What callers saw: a sound submission with an unknown field that has an escaped NUL, or is nested more than 32 levels deep, got 400, which users do not retry; so did a repeated submission of an accepted job.

Cause: the parser rejects the whole text, since cJSON ends strings at a NUL and recurses on a small stack. A limit of this program was answered as a fault of the input.

Submissions without a readable job id, which were not logged, now are, at most once a second.

Unusual spellings of numbers, escapes, order and null were accepted before, as the same job.

--- a/src/coordination/api/submission.c
+++ b/src/coordination/api/submission.c
@@ -16,9 +16,10 @@
 #include "transport/log.h"
 
 static const struct {
-	double kv_down_s;
+	double kv_down_s, log_interval_s;
 } tunables = {
 	.kv_down_s = 0.3, /* time for which a failed request marks the key-value store as down */
+	.log_interval_s = 1.0, /* between lines about submissions without a job id */
 };
 
 /* A submission being handled. It owns nothing. */
@@ -264,10 +265,22 @@
 		        submission->spec->ref);
 }
 
+/* Without a job id, a submission cannot be a duplicate. */
+static void reject_without_ref(struct fl_http_response *response, const char *reason)
+{
+	static struct fl_log_limit limit;
+	unsigned suppressed;
+
+	fl_respond_error(response, 400, "%s", reason);
+	if (fl_log_limit_take(&limit, tunables.log_interval_s, fl_now(), &suppressed))
+		fl_info("jobs", "job rejected job=unknown reason=\"%s\" suppressed=%u", reason,
+		        suppressed);
+}
+
 void fl_handle_submission(struct fl_node *node, const char *body, size_t len,
                           enum fl_forward_hop hop, struct fl_http_response *response)
 {
-	cJSON *object = fl_json_parse(body, len);
+	cJSON *object = fl_json_parse_user_message(body, len);
 	struct fl_job_spec spec;
 	const struct submission submission = {node, &spec, hop, response};
 	const char *bad_field;
@@ -275,14 +288,13 @@
 
 	if (!cJSON_IsObject(object)) {
 		cJSON_Delete(object);
-		fl_respond_error(response, 400, "the body must be a JSON object");
+		reject_without_ref(response, "the body must be a JSON object");
 		return;
 	}
 	bad_field = fl_job_spec_decode(object, &spec);
 	cJSON_Delete(object);
 	if (!spec.ref[0]) {
-		/* Without a job id, the submission cannot be a duplicate. */
-		fl_respond_error(response, 400, FL_FIELD_REF ": missing or invalid");
+		reject_without_ref(response, FL_FIELD_REF ": missing or invalid");
 		return;
 	}
 	if (fl_respond_if_isolated(node, response))
