--- a/tests/fault_combinations_workers.c
+++ b/tests/fault_combinations_workers.c
@@ -219,7 +219,63 @@
 		           .duration_s = sim_random_between(3, sim.lease_s + 2), .magnitude = 0.5);
 }
 
+/*
+ * Start commands are held up for longer than a cancelled job's tasks may run, while leaders fail or
+ * the key-value store is out for as long.
+ */
+static void held_start_commands(int variant)
+{
+	double cancel_s = sim_random_between(45, 60);
+
+	SIM_INJECT(FAULT_DELAYED_COMMANDS, .start_s = 10, .duration_s = cancel_s - 10,
+	           .magnitude = 0.6, .delay_max_s = 2 * sim.cancel_s);
+	SIM_INJECT(FAULT_SUBMISSION_BURST, .start_s = cancel_s - 6, .duration_s = 1, .count = 20);
+	inject_cancel_running(cancel_s, 10, 0);
+	if (variant % 3 == 1)
+		inject_leader_down(cancel_s + sim_random_between(0, 2), 5);
+	if (variant % 3 == 2)
+		SIM_INJECT(FAULT_KV_UNAVAILABLE, .start_s = cancel_s + sim_random_between(0.2, 3),
+		           .duration_s = sim.cancel_s * sim_random_between(1.1, 1.8));
+	if (variant % 2)
+		SIM_INJECT(FAULT_INBOUND_PARTITION, .start_s = cancel_s - 3, .duration_s = 20,
+		           .magnitude = 0.3);
+}
+
+/* Rentals and deletions are carried out late, and machines are cut off for less than a second. */
+static void delayed_cloud_requests(int variant)
+{
+	SIM_INJECT(FAULT_DELAYED_CLOUD_REQUESTS, .start_s = 3, .duration_s = 100,
+	           .magnitude = variant % 2 ? 0.6 : 0.3);
+	SIM_INJECT(FAULT_IRREGULAR_BOOTS, .start_s = 3, .duration_s = 100, .magnitude = 0.5);
+	SIM_INJECT(FAULT_SUBMISSION_BURST, .start_s = 25, .duration_s = 1, .count = 15);
+	for (int i = 0; i < 6; i++) {
+		double start_s = sim_random_between(30, 100);
+
+		SIM_INJECT(i % 2 ? FAULT_MACHINE_HANG : FAULT_OUTBOUND_PARTITION,
+		           .start_s = start_s, .duration_s = sim_random_between(0.1, 1),
+		           .magnitude = 0.6);
+	}
+	inject_leader_down_within(35, 20, sim_random_between(0.2, 6));
+	if (variant % 3 == 1)
+		SIM_INJECT(FAULT_MACHINE_TERMINATION, .start_s = 60, .duration_s = 1,
+		           .magnitude = 0.4);
+	if (variant % 3 == 2)
+		inject_leader_down_within(70, 15, sim_random_between(0.2, 6));
+}
+
 static const struct combination combinations[] = {
+	{.name = "held_start_commands",
+         .seed_name = "held_start_commands",
+         .inject_faults = held_start_commands,
+         .first_variant = 0,
+         .variant_count = 3,
+         .protects = "reconciliation_unreported.c: absence_is_conclusive"},
+	{.name = "delayed_cloud_requests",
+         .seed_name = "delayed_cloud_requests",
+         .inject_faults = delayed_cloud_requests,
+         .first_variant = 0,
+         .variant_count = 3,
+         .protects = "scale_out.c, scale_in.c, machine_list.c: machines that are not expected"},
 	{.name = "stale_heartbeats",
          .seed_name = "old_report",
          .inject_faults = stale_heartbeats,
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -101,7 +101,8 @@
 int sim_leader_node(void);
 void sim_kv_end(void);
 
-void sim_cloud_serve(struct sim_endpoint from, const struct fl_http_request *request,
+/* Serves a request that a process has sent. */
+void sim_cloud_serve(int process, const struct fl_http_request *request,
                      struct fl_http_response *response);
 void sim_cloud_end(void);
 
--- a/tests/sim_cloud.c
+++ b/tests/sim_cloud.c
@@ -11,6 +11,9 @@
 
 enum { RENTALS_MAX = 512, PAGE_MAX = 500 };
 
+/* The bounds of the delay under FAULT_DELAYED_CLOUD_REQUESTS. */
+static const double delay_min_s = 2, delay_max_s = 40;
+
 const struct sim_machine_type sim_machine_types[SIM_MACHINE_TYPES] = {
 	{"c32", 32, 0, 128, 4.0, 6},
 	{"g4", 32, 4, 256, 12.0, 8},
@@ -308,21 +311,44 @@
 	set_json_response(response, 200, object);
 }
 
-void sim_cloud_serve(struct sim_endpoint from, const struct fl_http_request *request,
+/* Returns whether the request is held up: it is carried out late, and its reply is lost. */
+static bool hold_up_request(const struct fl_http_request *request)
+{
+	const struct sim_fault *fault = sim_fault_active(FAULT_DELAYED_CLOUD_REQUESTS, -1);
+
+	if (!fault || request->method != HTTP_POST || !sim_chance(fault->magnitude))
+		return false;
+	fl_sleep(sim_random_between(delay_min_s, delay_max_s));
+	return true;
+}
+
+static void drop_reply(struct fl_http_response *response)
+{
+	free(response->body);
+	response->body = NULL;
+	response->status = SIM_NO_REPLY;
+}
+
+void sim_cloud_serve(int process, const struct fl_http_request *request,
                      struct fl_http_response *response)
 {
+	bool held_up;
+
 	if (fl_sleep(sim_random_between(0.01, 0.1)) != 0)
 		return;
+	held_up = hold_up_request(request);
 	if (sim_fault_active(FAULT_CLOUD_UNAVAILABLE, -1))
 		respond_unavailable(response, "unavailable");
 	else if (strcmp(request->path, "/machine_types") == 0)
 		serve_machine_types(response);
 	else if (strcmp(request->path, "/rentals") == 0 && request->method == HTTP_POST)
-		serve_rental(sim_node_process(from.index), request, response);
+		serve_rental(process, request, response);
 	else if (strcmp(request->path, "/rentals/delete") == 0)
 		serve_deletion(request, response);
 	else
 		serve_list(request, response);
+	if (held_up)
+		drop_reply(response);
 }
 
 void sim_cloud_end(void) { memset(&cloud, 0, sizeof(cloud)); }
--- a/tests/sim_net.c
+++ b/tests/sim_net.c
@@ -107,7 +107,7 @@
 		sim_kv_serve(call->from, request, &call->response);
 		break;
 	case ENDPOINT_CLOUD:
-		sim_cloud_serve(call->from, request, &call->response);
+		sim_cloud_serve(call->process, request, &call->response);
 		break;
 	case ENDPOINT_WORKER:
 		sim_worker_serve(call->process, call->to.index, request, &call->response);
--- a/tests/sim_workers.c
+++ b/tests/sim_workers.c
@@ -157,12 +157,17 @@
 	cJSON_Delete(object);
 }
 
-/* Returns whether to delay a direct command, which is executed late and whose reply is lost. */
-static bool command_is_delayed(void)
+/* Returns the delay of a direct command, which is executed late and whose reply is lost; 0: none.
+ */
+static double command_delay_s(void)
 {
 	const struct sim_fault *fault = sim_fault_active(FAULT_DELAYED_COMMANDS, -1);
 
-	return fault && sim_chance(fault->magnitude);
+	if (!fault || !sim_chance(fault->magnitude))
+		return 0;
+	return sim_random_between(tunables.command_delay_min_s,
+	                          fault->delay_max_s > 0 ? fault->delay_max_s
+	                                                 : tunables.command_delay_max_s);
 }
 
 void sim_worker_serve(int process, int machine_index, const struct fl_http_request *request,
@@ -170,18 +175,17 @@
 {
 	struct sim_machine *machine = &sim.machines[machine_index];
 	bool is_status_request = strcmp(request->path, "/show") == 0;
-	bool delayed = !is_status_request && command_is_delayed();
+	double delay_s = is_status_request ? 0 : command_delay_s();
 
-	if (delayed)
-		fl_sleep(sim_random_between(tunables.command_delay_min_s,
-		                            tunables.command_delay_max_s));
+	if (delay_s > 0)
+		fl_sleep(delay_s);
 	if (sim_machine_wait_until_resumed(machine)) {
 		sim_machine_end_expired_lease(machine);
 		if (is_status_request)
 			respond_heartbeat(machine, 200, response);
 		else
 			serve_command(machine, process, request, response);
-		if (!delayed)
+		if (delay_s == 0)
 			return;
 	}
 	free(response->body);
