--- a/src/coordination/api/submission.c
+++ b/src/coordination/api/submission.c
@@ -280,7 +280,7 @@
 void fl_handle_submission(struct fl_node *node, const char *body, size_t len,
                           enum fl_forward_hop hop, struct fl_http_response *response)
 {
-	cJSON *object = fl_json_parse_user_message(body, len);
+	cJSON *object = fl_json_parse(body, len);
 	struct fl_job_spec spec;
 	const struct submission submission = {node, &spec, hop, response};
 	const char *bad_field;
--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -7,6 +7,12 @@
 
 #include "transport/text.h"
 
+static const struct {
+	int max_depth;
+} tunables = {
+	.max_depth = 32, /* levels; the cJSON parser recurses, and a coroutine's stack is small */
+};
+
 static const double amount_max = 1e12;
 
 /*
@@ -44,7 +50,7 @@
 			if (i == 0)
 				return false;
 		} else if (next == '[' || next == '{') {
-			if (++depth > FL_JSON_DEPTH_MAX)
+			if (++depth > tunables.max_depth)
 				return false;
 		} else if (next == ']' || next == '}') {
 			depth--;
--- a/src/protocol/json.h
+++ b/src/protocol/json.h
@@ -11,9 +11,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Maximum depth of nesting: the cJSON parser recurses, and the stack of a coroutine is small. */
-enum { FL_JSON_DEPTH_MAX = 32 };
-
 /* The result of reading a field. A null field is ABSENT. */
 enum fl_json_result { FL_JSON_OK = 0, FL_JSON_ABSENT = 1, FL_JSON_INVALID = -1 };
 
@@ -33,12 +30,6 @@
  * NULL: malformed input, or out of memory.
  */
 cJSON *fl_json_parse(const char *text, size_t length);
-/*
- * Parses a user's message, whose unknown fields may hold anything that JSON allows. Like
- * fl_json_parse, but what is nested too deeply is left out, and an escaped NUL is read as U+0001,
- * which is part of no valid name. The syntax of what is left out is not checked in full.
- */
-cJSON *fl_json_parse_user_message(const char *text, size_t length);
 /* Reads a string that fits into `capacity` bytes with its terminator; `value` may be NULL. */
 enum fl_json_result fl_json_read_string(const cJSON *value, char *out, size_t capacity);
 /* Reads a string from a field, as fl_json_read_string does. */
