Cancellation: a start command that is held up cannot run after cancel_s

What callers would see: a task of a job that was confirmed as cancelled starts more than cancel_s later (ran_cancelled).

Cause: a direct start command may arrive minutes late and is executed if the worker's incarnation and fencing token are still those it was sent with. The leader raised the token only when a later heartbeat showed the attempt as absent. If the key-value store fails after the cancellation and before the raise, no token can be raised, while the controllers renew the worker's lease with the old one for as long as they reach each other.

Change: before a cancellation is stored, the leader raises the token if a direct start of one of the job's tasks may be in flight: sent with the present token, for a stored attempt that no heartbeat has shown. If that fails, the user gets 503 and repeats the request.

Evidence: held_starts_of_cancelled_jobs cancels jobs as they start, holds their start commands for up to twice cancel_s, and then takes the key-value store away.

--- a/src/coordination/api/cancellation.c
+++ b/src/coordination/api/cancellation.c
@@ -5,6 +5,7 @@
 
 #include "coordination/api/status_from_leader.h"
 #include "coordination/api/job_status_response.h"
+#include "coordination/election/fencing_token.h"
 #include "coordination/node.h"
 #include "coordination/persistence/job_record_refresh.h"
 #include "coordination/persistence/job_record_txn.h"
@@ -17,6 +18,12 @@
 #include "transport/log.h"
 #include "transport/text.h"
 
+static const struct {
+	int token_raises_max;
+} tunables = {
+	.token_raises_max = 3, /* starts may be sent while a raise is being stored */
+};
+
 /*
  * Loads the job from its record unless the cluster state has it. Returns false if the job is not
  * live or its record cannot be read; the response is then that of a status query, so that a job
@@ -114,14 +121,39 @@
 	}
 }
 
+/*
+ * Raises the fencing token if a direct start command for a task of the job may still arrive: it
+ * could come after cancel_s, and if the key-value store fails meanwhile, no token could be raised
+ * then. Returns the job, or NULL if the token could not be raised or the job has ended.
+ */
+static const struct fl_job *rule_out_late_starts(struct fl_node *node, const char *ref)
+{
+	const struct fl_job *job = fl_job_find(&node->cluster, ref);
+
+	for (int i = 0; job && fl_command_start_may_arrive_late(node, job); i++) {
+		if (i == tunables.token_raises_max ||
+		    !fl_fencing_token_raise_above(node, node->leader_lease.fencing_token))
+			return NULL;
+		job = fl_is_leader(node) ? fl_job_find(&node->cluster, ref) : NULL;
+	}
+	/* Another request may have cancelled or finished the job during the wait. */
+	if (!job || job->cancelled || job->record.final_write_in_flight)
+		return NULL;
+	return job;
+}
+
 enum fl_kv_result fl_cancellation_write(struct fl_node *node, const struct fl_job *job)
 {
-	double cancelled_wall = fl_wall_time();
+	double cancelled_wall;
 	enum fl_kv_result result;
 	char ref[FL_REF_MAX];
 	uint64_t revision = 0;
 
 	fl_copy_string(ref, sizeof(ref), job->ref);
+	job = rule_out_late_starts(node, ref);
+	if (!job)
+		return FL_KV_UNAVAILABLE;
+	cancelled_wall = fl_wall_time();
 	result = store_cancellation(node, job, cancelled_wall, &revision);
 	job = fl_is_leader(node) ? fl_job_find(&node->cluster, ref) : NULL;
 	/* The limits are lower now, so the record is built in its smallest form. */
--- a/src/coordination/election/fencing_token.c
+++ b/src/coordination/election/fencing_token.c
@@ -4,6 +4,12 @@
 #include "storage/keys.h"
 #include "transport/clock.h"
 
+static const struct {
+	double raise_wait_s;
+} tunables = {
+	.raise_wait_s = 1.0, /* for a raise in flight; the store takes at most as long to answer */
+};
+
 /* Sets the token that the leader commands with to the one that is stored at this revision. */
 static void set_fencing_token(struct fl_node *node, uint64_t fencing_token, uint64_t revision)
 {
@@ -32,7 +38,8 @@
 		set_fencing_token(node, state.fencing_token, state.token_mod_revision);
 }
 
-void fl_fencing_token_raise(struct fl_node *node)
+/* Stores a higher token, or adopts the stored one. */
+static void store_higher_token(struct fl_node *node)
 {
 	struct fl_leader_lease *lease = &node->leader_lease;
 	uint64_t revision, lease_id = lease->lease_id;
@@ -53,3 +60,24 @@
 	else
 		fl_fencing_token_adopt_stored(node);
 }
+
+void fl_fencing_token_raise(struct fl_node *node)
+{
+	struct fl_leader_lease *lease = &node->leader_lease;
+
+	lease->token_raise_in_flight = true;
+	store_higher_token(node);
+	lease->token_raise_in_flight = false;
+	fl_condition_broadcast(&lease->token_raise_ended);
+}
+
+bool fl_fencing_token_raise_above(struct fl_node *node, uint64_t fencing_token)
+{
+	struct fl_leader_lease *lease = &node->leader_lease;
+
+	if (lease->token_raise_in_flight)
+		fl_condition_wait(&lease->token_raise_ended, tunables.raise_wait_s);
+	if (fl_leader_lease_is_valid(lease) && lease->fencing_token <= fencing_token)
+		fl_fencing_token_raise(node);
+	return fl_leader_lease_is_valid(lease) && lease->fencing_token > fencing_token;
+}
--- a/src/coordination/election/leader_lease.h
+++ b/src/coordination/election/leader_lease.h
@@ -10,6 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "transport/coroutine.h"
+
 struct fl_node;
 
 /* This node's lease. The fields other than `held` are valid only while the lease is held. */
@@ -22,6 +24,8 @@
 	double valid_until;           /* expiry by this node's clock, less its possible drift */
 	bool token_raise_wanted; /* a higher token is requested, to fence late direct commands */
 	double token_raised_at;  /* time of the last attempt to raise the token */
+	bool token_raise_in_flight;
+	struct fl_condition token_raise_ended;
 };
 
 /* Returns whether the lease is held and not expired. Must be checked again after every wait. */
--- a/src/coordination/workers/command.c
+++ b/src/coordination/workers/command.c
@@ -101,6 +101,20 @@
 	node->leadership.coroutines_running++;
 }
 
+/* Returns whether the machine has an attempt of the job that may have been started unnoticed. */
+static bool machine_has_unreported_task_of(const struct fl_machine *machine,
+                                           const struct fl_job *job)
+{
+	for (int i = 0; i < machine->assignment_count; i++) {
+		uint32_t index = machine->assignments[i].task_index;
+
+		if (machine->assignments[i].job == job && fl_task_change_is_durable(job, index) &&
+		    fl_task_find(job, index)->last_observed_state == FL_OBSERVED_NONE)
+			return true;
+	}
+	return false;
+}
+
 void fl_command_send_pending(struct fl_node *node)
 {
 	for (int i = 0; i < node->cluster.machines.count; i++) {
@@ -119,6 +133,18 @@
 	return false;
 }
 
+bool fl_command_start_may_arrive_late(const struct fl_node *node, const struct fl_job *job)
+{
+	for (int i = 0; i < node->cluster.machines.count; i++) {
+		const struct fl_machine *machine = node->cluster.machines.by_id[i];
+
+		if (machine->outbound.direct_start_token >= node->leader_lease.fencing_token &&
+		    machine_has_unreported_task_of(machine, job))
+			return true;
+	}
+	return false;
+}
+
 void fl_command_send_for_job(struct fl_node *node, const struct fl_job *job)
 {
 	for (int i = 0; i < node->cluster.machines.count; i++) {
--- a/src/coordination/workers/command.h
+++ b/src/coordination/workers/command.h
@@ -8,6 +8,8 @@
 #ifndef FL_COORDINATION_WORKERS_COMMAND_H
 #define FL_COORDINATION_WORKERS_COMMAND_H
 
+#include <stdbool.h>
+
 struct fl_node;
 struct fl_job;
 struct fl_machine;
@@ -20,6 +22,11 @@
 void fl_command_send(struct fl_node *node, struct fl_machine *machine);
 /* Sends pending commands of all machines; to be called when new tasks' records are written. */
 void fl_command_send_pending(struct fl_node *node);
+/*
+ * Returns whether a direct start command for a task of the job may still arrive at a worker: with
+ * the present fencing token, for an attempt that no heartbeat has shown.
+ */
+bool fl_command_start_may_arrive_late(const struct fl_node *node, const struct fl_job *job);
 /* Sends the machines that have tasks of the job their commands directly. */
 void fl_command_send_for_job(struct fl_node *node, const struct fl_job *job);
 /* Sends stop commands for a job that is marked as cancelled to all machines with its tasks. */
--- a/tests/fault_combinations_workers.c
+++ b/tests/fault_combinations_workers.c
@@ -241,6 +241,40 @@
 		           .magnitude = 0.3);
 }
 
+/*
+ * The same for jobs that are cancelled as they start: then only the held-up command has the start,
+ * and no heartbeat shows it. In some variants the key-value store is out before the leader can
+ * raise the fencing token, which would rule the start out.
+ */
+static void held_starts_of_cancelled_jobs(int variant)
+{
+	double outage_s = sim_random_between(36, 44);
+
+	for (int i = 0; i < 60; i++) {
+		struct sim_job *job = sim_job_add_random(sim_random_between(30, 43));
+
+		job->spec.kind = FL_ARRAY;
+		job->spec.cpus = 1;
+		job->spec.gpus = 0;
+		job->spec.machine_type_count = -1;
+		job->spec.has_zone = job->spec.same_zone = job->spec.spread_zones = false;
+		job->cancel_s = job->submit_s + sim_random_between(0.1, 1.5);
+		for (uint32_t k = 0; k < job->spec.task_count; k++)
+			job->duration_s[k] = 300;
+		sim_job_encode_request(job);
+	}
+	SIM_INJECT(FAULT_DELAYED_COMMANDS, .start_s = 28, .duration_s = 18, .magnitude = 0.9,
+	           .delay_max_s = 2 * sim.cancel_s);
+	if (variant % 3 == 0)
+		inject_leader_down(outage_s, 5);
+	else
+		SIM_INJECT(FAULT_KV_UNAVAILABLE, .start_s = outage_s,
+		           .duration_s = sim.cancel_s * sim_random_between(1.2, 2));
+	if (variant % 3 == 2)
+		SIM_INJECT(FAULT_NODE_DOWN, .start_s = outage_s + sim_random_between(1, 20),
+		           .duration_s = 6, .target = TARGET_ANY_NODE);
+}
+
 /* Rentals and deletions are carried out late, and machines are cut off for less than a second. */
 static void delayed_cloud_requests(int variant)
 {
@@ -270,6 +304,12 @@
          .first_variant = 0,
          .variant_count = 3,
          .protects = "reconciliation_unreported.c: absence_is_conclusive"},
+	{.name = "held_starts_of_cancelled_jobs",
+         .seed_name = "held_starts_of_cancelled_jobs",
+         .inject_faults = held_starts_of_cancelled_jobs,
+         .first_variant = 0,
+         .variant_count = 3,
+         .protects = "reconciliation_unreported.c: absence_is_conclusive; lease_renewal.c"},
 	{.name = "delayed_cloud_requests",
          .seed_name = "delayed_cloud_requests",
          .inject_faults = delayed_cloud_requests,
