Logs: what was read, and why a start, a stop or an answer was allowed

Change: at info, each raise of the fencing token; at debug, each answer of the key-value store with its duration, the source of the answer to a duplicate submission and of a 404, and the reason of each start and stop command.

--- a/src/coordination/api/job_status_response.c
+++ b/src/coordination/api/job_status_response.c
@@ -1,6 +1,7 @@
 #include "coordination/api/job_status_response.h"
 
 #include "coordination/responses.h"
+#include "transport/log.h"
 
 struct fl_job_status_report fl_final_job_report(enum fl_job_status status, uint32_t task_count)
 {
@@ -44,7 +45,8 @@
 	respond_without_counts(response, 201, ref, FL_PENDING);
 }
 
-void fl_respond_no_such_job(struct fl_http_response *response)
+void fl_respond_no_such_job(struct fl_http_response *response, const char *ref, const char *source)
 {
+	fl_debug("jobs", "job not found job=%s source=%s", ref, source);
 	fl_respond_error(response, 404, "no such job");
 }
--- a/src/coordination/api/job_status_response.h
+++ b/src/coordination/api/job_status_response.h
@@ -23,7 +23,7 @@
                              enum fl_job_status status);
 /* Answers a submission whose record is stored: 201 with the status pending. */
 void fl_respond_job_accepted(struct fl_http_response *response, const char *ref);
-/* Responds 404: no job has this id. */
-void fl_respond_no_such_job(struct fl_http_response *response);
+/* Responds 404: no job has this id. `source`, for the log, is where that was found. */
+void fl_respond_no_such_job(struct fl_http_response *response, const char *ref, const char *source);
 
 #endif
--- a/src/coordination/api/status_from_leader.c
+++ b/src/coordination/api/status_from_leader.c
@@ -82,7 +82,7 @@
 		fl_respond_job_status(response, ref, report);
 		break;
 	case FL_RECORD_NOT_FOUND:
-		fl_respond_no_such_job(response);
+		fl_respond_no_such_job(response, ref, "record, read by the leader");
 		break;
 	case FL_RECORD_UNREADABLE:
 	case FL_RECORD_UNAVAILABLE:
--- a/src/coordination/api/status_from_records.c
+++ b/src/coordination/api/status_from_records.c
@@ -82,7 +82,7 @@
 		respond_status_of_record(node, ref, &record, response);
 		break;
 	case FL_RECORD_NOT_FOUND:
-		fl_respond_no_such_job(response);
+		fl_respond_no_such_job(response, ref, "records");
 		break;
 	case FL_RECORD_UNREADABLE:
 	case FL_RECORD_UNAVAILABLE:
--- a/src/coordination/api/submission.c
+++ b/src/coordination/api/submission.c
@@ -83,8 +83,10 @@
 	return result;
 }
 
-static enum duplicate_check respond_with_job_status(const struct submission *submission)
+static enum duplicate_check respond_with_job_status(const struct submission *submission,
+                                                    const char *source)
 {
+	fl_debug("jobs", "duplicate submission job=%s source=%s", submission->spec->ref, source);
 	fl_handle_status_request(submission->node, submission->spec->ref, submission->hop,
 	                         submission->response);
 	return DUPLICATE_ANSWERED;
@@ -98,10 +100,10 @@
 static enum duplicate_check respond_if_duplicate(const struct submission *submission)
 {
 	if (job_is_known(&submission->node->cluster, submission->spec->ref))
-		return respond_with_job_status(submission);
+		return respond_with_job_status(submission, "memory");
 	switch (look_up_record(&submission->node->kv_store, submission->spec->ref)) {
 	case FL_RECORD_FOUND:
-		return respond_with_job_status(submission);
+		return respond_with_job_status(submission, "record");
 	case FL_RECORD_NOT_FOUND:
 		return DUPLICATE_NO;
 	case FL_RECORD_UNREADABLE:
@@ -248,7 +250,7 @@
 	enum fl_infeasibility infeasibility;
 
 	if (job_is_known(&node->cluster, submission->spec->ref)) {
-		respond_with_job_status(submission);
+		respond_with_job_status(submission, "memory");
 		return;
 	}
 	if (!node->machine_types_loaded) {
--- a/src/coordination/api/user_requests.c
+++ b/src/coordination/api/user_requests.c
@@ -23,7 +23,7 @@
                                      enum fl_forward_hop hop, struct fl_http_response *response)
 {
 	if (!ref[0]) {
-		fl_respond_no_such_job(response);
+		fl_respond_no_such_job(response, "invalid", "path");
 		return RESPONDER_ANSWERED;
 	}
 	if (fl_finished_job_find(&node->cluster, ref))
--- a/src/coordination/election/fencing_token.c
+++ b/src/coordination/election/fencing_token.c
@@ -3,6 +3,7 @@
 #include "coordination/node.h"
 #include "storage/keys.h"
 #include "transport/clock.h"
+#include "transport/log.h"
 
 static const struct {
 	double raise_wait_s;
@@ -15,8 +16,11 @@
 {
 	struct fl_leader_lease *lease = &node->leader_lease;
 
-	if (fencing_token > lease->fencing_token)
+	if (fencing_token > lease->fencing_token) {
 		lease->token_raise_wanted = false;
+		fl_info("election", "fencing token raised node=%s fencing_token=%llu",
+		        node->config->node, (unsigned long long)fencing_token);
+	}
 	lease->fencing_token = fencing_token;
 	lease->token_mod_revision = revision;
 	if (fencing_token > node->leader_view.fencing_token)
--- a/src/coordination/workers/reconciliation_commands.c
+++ b/src/coordination/workers/reconciliation_commands.c
@@ -4,6 +4,7 @@
 #include "coordination/node.h"
 #include "coordination/workers/reconciliation_internal.h"
 #include "storage/placement_rules.h"
+#include "transport/log.h"
 
 static const struct {
 	double checkpoint_margin_s;
@@ -64,6 +65,38 @@
 	return job->checkpoint_cost_s + tunables.checkpoint_margin_s;
 }
 
+void fl_reconcile_add_start(struct fl_command_list *commands, const struct fl_machine *machine,
+                            const struct fl_job *job, uint32_t index)
+{
+	const struct fl_task *task = fl_task_find(job, index);
+
+	fl_debug("workers", "start command task=%s/%u attempt=%u machine=%s reason=\"%s\"",
+	         job->ref, index, task->attempt, machine->name,
+	         task->fencing_token != 0 ? "placed by this leader" : "restored, within quota");
+	fl_command_list_add(commands, &(struct fl_command){FL_COMMAND_START, job->ref, index,
+	                                                   task->attempt, 0});
+}
+
+const char *fl_attempt_stop_reason(const struct fl_job *job)
+{
+	if (!job)
+		return "unknown job";
+	return job->cancelled ? "job cancelled" : "preempted, draining or not current";
+}
+
+/* Adds a command to stop an attempt that should not run. */
+static void add_stop(struct fl_command_list *commands, const struct fl_machine *machine,
+                     const struct fl_job *job, uint32_t index)
+{
+	const struct fl_task *task = fl_task_find(job, index);
+
+	fl_debug("workers", "stop command task=%s/%u attempt=%u machine=%s reason=\"%s\"", job->ref,
+	         index, task->attempt, machine->name, fl_attempt_stop_reason(job));
+	fl_command_list_add(commands,
+	                    &(struct fl_command){FL_COMMAND_STOP, job->ref, index, task->attempt,
+	                                         fl_attempt_grace_period_s(job, task)});
+}
+
 bool fl_reconcile_collect_commands(struct fl_node *node, struct fl_machine *machine,
                                    struct fl_command_list *commands)
 {
@@ -75,15 +108,10 @@
 		struct fl_task *task = fl_task_find(job, index);
 
 		if (!fl_attempt_should_run(job, task)) {
-			fl_command_list_add(commands,
-			                    &(struct fl_command){
-						    FL_COMMAND_STOP, job->ref, index, task->attempt,
-						    fl_attempt_grace_period_s(job, task)});
+			add_stop(commands, machine, job, index);
 		} else if (task->last_observed_state == FL_OBSERVED_NONE &&
 		           fl_attempt_may_start(&node->cluster, job, index)) {
-			fl_command_list_add(commands,
-			                    &(struct fl_command){FL_COMMAND_START, job->ref, index,
-			                                         task->attempt, 0});
+			fl_reconcile_add_start(commands, machine, job, index);
 			has_start = true;
 		}
 	}
--- a/src/coordination/workers/reconciliation_internal.h
+++ b/src/coordination/workers/reconciliation_internal.h
@@ -60,6 +60,11 @@
  */
 enum fl_attempt_permission fl_attempt_permission(const struct fl_cluster *cluster,
                                                  const struct fl_job *job, uint32_t index);
+/* Adds a command to start an attempt that may start. */
+void fl_reconcile_add_start(struct fl_command_list *commands, const struct fl_machine *machine,
+                            const struct fl_job *job, uint32_t index);
+/* Returns why an attempt of the job is stopped, for the log; NULL: the job is not known. */
+const char *fl_attempt_stop_reason(const struct fl_job *job);
 /* Returns the grace period, s, in which a stopped attempt may write its checkpoint. */
 double fl_attempt_grace_period_s(const struct fl_job *job, const struct fl_task *task);
 
--- a/src/coordination/workers/reconciliation_reported.c
+++ b/src/coordination/workers/reconciliation_reported.c
@@ -13,6 +13,16 @@
 		                                         status->attempt, grace_period_s});
 }
 
+/* Stops a reported attempt; `job` is NULL if the job is not known. */
+static void add_stop(const struct fl_heartbeat_context *context, const struct fl_job *job,
+                     const struct fl_task_status *status, double grace_period_s)
+{
+	fl_debug("workers", "stop command task=%s/%u attempt=%u machine=%s reason=\"%s\"",
+	         status->ref, status->index, status->attempt, context->machine->name,
+	         fl_attempt_stop_reason(job));
+	add_reply_command(context, FL_COMMAND_STOP, status, grace_period_s);
+}
+
 static enum fl_observed_state observed_state(enum fl_task_state state)
 {
 	switch (state) {
@@ -88,7 +98,7 @@
 
 	if (status->state != FL_TASK_STATE_EXITED) {
 		machine->heartbeat.orphan_task_count++;
-		add_reply_command(context, FL_COMMAND_STOP, status, 0);
+		add_stop(context, job, status, 0);
 		return;
 	}
 	complete_task_by_stale_attempt(context->node, job, status);
@@ -138,6 +148,5 @@
 	}
 	update_observed_state(context, job, task, status);
 	if (!fl_attempt_should_run(job, task))
-		add_reply_command(context, FL_COMMAND_STOP, status,
-		                  fl_attempt_grace_period_s(job, task));
+		add_stop(context, job, status, fl_attempt_grace_period_s(job, task));
 }
--- a/src/protocol/kv_store.c
+++ b/src/protocol/kv_store.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "transport/clock.h"
+#include "transport/log.h"
 #include "transport/text.h"
 
 static const struct {
@@ -119,6 +120,15 @@
 	return result;
 }
 
+static void log_answer(const struct request *request, int http_status, enum fl_kv_result result,
+                       double sent_at)
+{
+	fl_debug("records",
+	         "key-value store answered method=%s path=%s status=%d result=\"%s\" seconds=%.3f",
+	         request->method, request->path, http_status, fl_kv_result_text(result),
+	         fl_now() - sent_at);
+}
+
 /*
  * Sends a request. The caller deletes `*response` on every result; NULL: no response, or not valid
  * JSON.
@@ -137,6 +147,7 @@
 		return FL_KV_CANCELLED;
 	if (rc) {
 		store->last_failure_at = fl_now();
+		log_answer(request, 0, FL_KV_OUTCOME_UNKNOWN, sent_at);
 		return FL_KV_OUTCOME_UNKNOWN;
 	}
 	if (reply.status == 503)
@@ -148,6 +159,7 @@
 	fl_buffer_free(&reply.body);
 	if (result == FL_KV_OK && !cJSON_IsObject(*response))
 		result = FL_KV_OUTCOME_UNKNOWN;
+	log_answer(request, reply.status, result, sent_at);
 	return result;
 }
 
--- a/tests/virtual_time_fixture.h
+++ b/tests/virtual_time_fixture.h
@@ -9,6 +9,14 @@
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 
+/* Set-up and tear-down for cmocka: begin virtual time, and end it. */
+int virtual_time_set_up(void **state);
+int virtual_time_tear_down(void **state);
+
+/* A test in virtual time of its own. */
+#define VIRTUAL_TIME_TEST(name)                                                                    \
+	cmocka_unit_test_setup_teardown(name, virtual_time_set_up, virtual_time_tear_down)
+
 /* Ends the virtual time begun by sim_time_begin() and drops all timers that are still armed. */
 void virtual_time_end(void);
 
