Transport: a client that sends as fast as it is read is bounded by construction

Cause: while each read fills the buffer, the reader neither waited nor looked at its deadline; the reader of a discarded body did so for up to a second. Not seen to keep others waiting: in the new test a client sent 420 MB in 1.2 s, and the calls beside it were answered at once before this change, too, as some reads do not fill the buffer.

Change: after 128 reads of a message without a wait other coroutines run, and the deadline is checked; a discarded body is read with a wait before each read.

Result: test_http with others_are_served_beside_a_client_that_never_pauses passes before and after; test_message_costs and the tests of incomplete requests and cut-off replies pass.

--- a/src/transport/http.c
+++ b/src/transport/http.c
@@ -13,6 +13,9 @@
 /* Maximum bytes of a request's path and query; bytes of one read. */
 enum { URL_BYTES_MAX = 8192, READ_BYTES = 8192 };
 
+/* Reads of one message after which other coroutines run, however fast the sender is. */
+enum { READS_WITHOUT_WAIT_MAX = 128 };
+
 /*
  * Return values of the parser's callbacks. Parsing is not aborted with 1, which at the end of the
  * headers would mean that the message has no body.
@@ -184,7 +187,8 @@
 struct read_limit {
 	double deadline;
 	bool more_expected; /* the last read filled the buffer: more has probably arrived */
-	bool last_wait;     /* the deadline has passed; only bytes that have arrived are read */
+	int reads_without_wait;
+	bool last_wait; /* the deadline has passed; only bytes that have arrived are read */
 };
 
 static void on_first_byte(struct fl_http_message *message, int fd, struct read_limit *limit)
@@ -206,8 +210,9 @@
 	double remaining_s = limit->deadline - fl_now();
 	int rc;
 
-	if (limit->more_expected)
+	if (limit->more_expected && limit->reads_without_wait++ < READS_WITHOUT_WAIT_MAX)
 		return 0;
+	limit->reads_without_wait = 0;
 	if (limit->last_wait)
 		return -ETIMEDOUT;
 	limit->last_wait = remaining_s <= 0;
--- a/src/transport/http_connection.c
+++ b/src/transport/http_connection.c
@@ -1,7 +1,6 @@
 #include "transport/http_connection.h"
 
 #include <errno.h>
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -169,14 +168,13 @@
 {
 	double deadline = fl_now() + tunables.discard_timeout_s;
 
-	while (fl_now() < deadline) {
+	/* A wait before each read lets other coroutines run beside a client that never pauses. */
+	while (fl_now() < deadline && fl_io_wait(fd, EV_READ, deadline - fl_now()) == 0) {
 		char discarded[DISCARD_READ_BYTES];
 		ssize_t count = fl_socket_receive(fd, discarded, sizeof(discarded));
 
 		if (count == 0 || (count < 0 && errno != EAGAIN))
 			break;
-		if (count < 0 && fl_io_wait(fd, EV_READ, fmax(0, deadline - fl_now())) != 0)
-			break;
 	}
 }
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -6,9 +6,12 @@
 
 #include <cmocka.h>
 #include <errno.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "http_fixture.h"
@@ -23,7 +26,9 @@
 	BODY_MEMORY_LIMIT_BYTES = 100000, /* enough for one large body but not for two */
 	FULL_SERVER_CONNECTIONS = 32,
 	SLOW_PIECES = 20,
-	HALF_SENT_REQUESTS = 4
+	HALF_SENT_REQUESTS = 4,
+	FLOOD_CHUNK_BYTES = 60000,
+	FLOOD_S = 15
 };
 
 static const double slow_sending_s = 4.4;
@@ -217,6 +222,58 @@
 	assert_int_equal(exchange.served_count, 3);
 }
 
+/* Sends a chunked body whose chunks have one byte and a long extension each, for some seconds. */
+static void flood(const char *address)
+{
+	static const char head[] = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+	static char chunk[FLOOD_CHUNK_BYTES];
+	struct sockaddr_in parsed;
+	time_t end = time(NULL) + FLOOD_S;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	memset(chunk, 'x', sizeof(chunk));
+	memcpy(chunk, "1;", 2);
+	memcpy(chunk + sizeof(chunk) - 5, "\r\ny\r\n", 5);
+	if (fl_address_parse(address, &parsed) != 0 ||
+	    connect(fd, (struct sockaddr *)&parsed, sizeof(parsed)) != 0 ||
+	    send(fd, head, sizeof(head) - 1, MSG_NOSIGNAL) < 0)
+		_exit(1);
+	while (time(NULL) < end && send(fd, chunk, sizeof(chunk), MSG_NOSIGNAL) > 0)
+		;
+	_exit(0);
+}
+
+static void call_beside_flood(const char *address, void *context)
+{
+	struct fl_http_client client;
+	pid_t pid = fork();
+
+	(void)context;
+	assert_true(pid >= 0);
+	if (pid == 0)
+		flood(address);
+	fl_sleep(0.2);
+	assert_int_equal(fl_http_client_init(&client, address, 1), 0);
+	for (int i = 0; i < 5; i++) {
+		assert_response(&client, "/x", "{}", 200);
+		fl_sleep(0.2);
+	}
+	fl_http_client_close(&client);
+	kill(pid, SIGKILL);
+	waitpid(pid, NULL, 0);
+}
+
+/* A client that sends as fast as the server reads must not keep it from serving others. */
+static void others_are_served_beside_a_client_that_never_pauses(void **state)
+{
+	struct exchange exchange;
+
+	(void)state;
+	run_exchange(&exchange, CONNECTIONS, call_beside_flood);
+
+	assert_int_equal(exchange.served_count, 5);
+}
+
 /* Sends a request without the last byte of its large body; returns the socket. */
 static int begin_large_body(const char *address, const char *path, const char *body)
 {
@@ -353,6 +410,7 @@
 		cmocka_unit_test(
 			a_body_is_rejected_when_the_bodies_being_served_reach_the_memory_limit),
 		cmocka_unit_test(the_slowest_half_sent_bodies_give_way_at_the_memory_limit),
+		cmocka_unit_test(others_are_served_beside_a_client_that_never_pauses),
 		cmocka_unit_test(a_nearly_full_server_closes_answered_connections),
 		cmocka_unit_test(an_address_is_rejected_unless_it_is_ipv4_and_port),
 	};
