--- a/tests/service_fixture.c
+++ b/tests/service_fixture.c
@@ -147,28 +147,44 @@
 	return -1;
 }
 
-bool submit_job(const char *ref, const char *kind, int task_count, int first_controller)
+void append_submission(struct fl_buffer *out, const char *ref, const char *kind, int task_count,
+                       const char *more)
+{
+	fl_buffer_printf(out,
+	                 "{\"Ref\":\"%s\",\"JobClass\":\"c\",\"Owner\":\"t\",\"JobKind\":\"%s\","
+	                 "\"Tier\":\"standard\",\"Parts\":%d,\"Vcpus\":1,\"Accelerators\":0,"
+	                 "\"RamGb\":1,\"Bundle\":\"img\",\"ImageGb\":1,\"Together\":false,"
+	                 "\"Apart\":false,\"Reclaimable\":true,\"ExpectedS\":1,"
+	                 "\"SnapshotEveryS\":0,\"SnapshotCostS\":0%s}",
+	                 ref, kind, task_count, more);
+}
+
+/* Returns the status of the first final answer to a submission; -1: none within TIMEOUT_S. */
+static int submit_until_answered(const char *body, int first_controller)
 {
-	char body[700], text[512];
 	double deadline = fl_now() + TIMEOUT_S;
+	char text[512];
 
-	snprintf(body, sizeof(body),
-	         "{\"Ref\":\"%s\",\"JobClass\":\"c\",\"Owner\":\"t\",\"JobKind\":\"%s\","
-	         "\"Tier\":\"standard\",\"Parts\":%d,\"Vcpus\":1,\"Accelerators\":0,\"RamGb\":1,"
-	         "\"Bundle\":\"img\",\"ImageGb\":1,\"Together\":false,\"Apart\":false,"
-	         "\"Reclaimable\":true,\"ExpectedS\":1,\"SnapshotEveryS\":0,\"SnapshotCostS\":0}",
-	         ref, kind, task_count);
 	while (fl_now() < deadline) {
 		int status = call_running_controller(first_controller++, "POST", "/v2/runs", body,
 		                                     text, sizeof(text));
 
-		if (status == 201 || status == 200)
-			return true;
-		if (status == 400 || status == 422)
-			return false;
+		if (status == 201 || status == 200 || status == 400 || status == 422)
+			return status;
 		fl_sleep(0.2);
 	}
-	return false;
+	return -1;
+}
+
+bool submit_job(const char *ref, const char *kind, int task_count, int first_controller)
+{
+	struct fl_buffer body = {0};
+	int status;
+
+	append_submission(&body, ref, kind, task_count, "");
+	status = submit_until_answered(body.data, first_controller);
+	fl_buffer_free(&body);
+	return status == 201 || status == 200;
 }
 
 bool cancel_job(const char *ref)
--- a/tests/service_fixture.h
+++ b/tests/service_fixture.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "transport/buffer.h"
+
 enum { CONTROLLERS = 3, TIMEOUT_S = 90 };
 
 /* Set-up and tear-down for cmocka; the set-up starts all controllers, the tear-down kills them. */
@@ -60,6 +62,9 @@
  */
 int call_running_controller(int first_controller, const char *method, const char *path,
                             const char *body, char *text, size_t size);
+/* Appends the body of a submission; `more` is empty, or further fields that begin with a comma. */
+void append_submission(struct fl_buffer *out, const char *ref, const char *kind, int task_count,
+                       const char *more);
 /*
  * Submits a job, retried for TIMEOUT_S at most until it is accepted or rejected; returns whether it
  * was accepted.
--- a/tests/sim_cloud.c
+++ b/tests/sim_cloud.c
@@ -322,13 +322,6 @@
 	return true;
 }
 
-static void drop_reply(struct fl_http_response *response)
-{
-	free(response->body);
-	response->body = NULL;
-	response->status = SIM_NO_REPLY;
-}
-
 void sim_cloud_serve(int process, const struct fl_http_request *request,
                      struct fl_http_response *response)
 {
@@ -348,7 +341,7 @@
 	else
 		serve_list(request, response);
 	if (held_up)
-		drop_reply(response);
+		response->status = SIM_NO_REPLY;
 }
 
 void sim_cloud_end(void) { memset(&cloud, 0, sizeof(cloud)); }
--- a/tests/sim_workers.c
+++ b/tests/sim_workers.c
@@ -2,7 +2,6 @@
 #include "sim.h"
 
 #include <errno.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "protocol/json.h"
@@ -188,8 +187,6 @@
 		if (delay_s == 0)
 			return;
 	}
-	free(response->body);
-	response->body = NULL;
 	response->status = SIM_NO_REPLY;
 }
 
--- a/tests/test_service_slow_clients.c
+++ b/tests/test_service_slow_clients.c
@@ -45,16 +45,12 @@
 /* Writes a submission whose body has a large field that the controllers do not know. */
 static void write_submission(struct fl_buffer *out, const char *ref, const char *head)
 {
-	struct fl_buffer body = {0};
-
-	fl_buffer_printf(&body,
-	                 "{\"Ref\":\"%s\",\"JobClass\":\"c\",\"Owner\":\"t\",\"JobKind\":\"sweep\","
-	                 "\"Tier\":\"standard\",\"Parts\":6,\"Vcpus\":1,\"Accelerators\":0,"
-	                 "\"RamGb\":1,\"Bundle\":\"img\",\"ImageGb\":1,\"Together\":false,"
-	                 "\"Apart\":false,\"Reclaimable\":true,\"ExpectedS\":1,"
-	                 "\"SnapshotEveryS\":0,\"SnapshotCostS\":0,\"note\":\"%0*d\"}",
-	                 ref, PADDING_BYTES, 0);
+	struct fl_buffer note = {0}, body = {0};
+
+	fl_buffer_printf(&note, ",\"note\":\"%0*d\"", PADDING_BYTES, 0);
+	append_submission(&body, ref, "sweep", 6, note.data);
 	fl_buffer_printf(out, "%sContent-Length: %zu\r\n\r\n%s", head, body.length, body.data);
+	fl_buffer_free(&note);
 	fl_buffer_free(&body);
 }
 
