--- a/review/standins-2/rig.hh
+++ b/review/standins-2/rig.hh
@@ -72,7 +72,7 @@
 
 __attribute__((format(printf, 1, 2))) inline string text(const char *format, ...)
 {
-	char buffer[4096];
+	static thread_local char buffer[4096];
 	va_list arguments;
 	va_start(arguments, format);
 	vsnprintf(buffer, sizeof(buffer), format, arguments);
@@ -219,24 +219,38 @@
 
 // ---- sockets and HTTP ----
 
+// The loopback address of this run: another one for each process, so that runs at the same time do
+// not meet.
+inline const string &host()
+{
+	static const string address = text("127.%d.%d.1", 1 + (int)(getpid() / 250 % 250),
+	                                   1 + (int)(getpid() % 250));
+	return address;
+}
+
 inline sockaddr_in loopback(int port)
 {
 	sockaddr_in address{};
 	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	inet_pton(AF_INET, host().c_str(), &address.sin_addr);
 	address.sin_port = htons((uint16_t)port);
 	return address;
 }
 
-// Opens a listening socket on a free loopback port below the ephemeral range.
+// Opens a listening socket on a free port below the ephemeral range; no port is chosen twice.
 inline int listen_on_free_port(int &port)
 {
 	static std::mt19937 random{(unsigned)getpid() * 7919u + (unsigned)time(nullptr)};
+	static std::set<int> chosen;
 	static std::mutex lock;
 	std::lock_guard<std::mutex> guard(lock);
 	for (int i = 0; i < 500; i++) {
 		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
 		port = 20000 + (int)(random() % 12000);
+		if (!chosen.insert(port).second) {
+			close(fd);
+			continue;
+		}
 		sockaddr_in address = loopback(port);
 		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 		if (bind(fd, (sockaddr *)&address, sizeof(address)) == 0 && listen(fd, 256) == 0)
@@ -944,10 +958,11 @@
 				parts += ",\"ExitReason\":\"" + task.why + "\"";
 			parts += "}";
 		}
-		return text("{\"Host\":\"%s\",\"Endpoint\":\"127.0.0.1:%d\",\"HostKind\":\"%s\","
+		return text("{\"Host\":\"%s\",\"Endpoint\":\"%s:%d\",\"HostKind\":\"%s\","
 		            "\"Site\":\"%s\",\"Reclaimable\":false,\"Tenure\":%ld,\"Serial\":%ld,"
 		            "\"Epoch\":%ld,\"ReclaimInS\":null,\"Parts\":[",
-		            name.c_str(), port, settings.type.name.c_str(), zone.c_str(), tenure, ++serial,
+		            name.c_str(), host().c_str(), port, settings.type.name.c_str(), zone.c_str(),
+		            tenure, ++serial,
 		            epoch) +
 		       parts + "]}";
 	}
@@ -1136,10 +1151,10 @@
 			    (item.second.gone_at > 0 && item.second.gone_at <= as_of))
 				continue;
 			out += (out.empty() ? "" : ",") + ("{\"Ref\":\"" + item.first) +
-			       text("\",\"Endpoint\":\"127.0.0.1:%d\",\"HostKind\":\"%s\","
+			       text("\",\"Endpoint\":\"%s:%d\",\"HostKind\":\"%s\","
 			            "\"Site\":\"%s\",\"Reclaimable\":false,\"Status\":\"running\","
 			            "\"AgeS\":%.1f}",
-			            item.second.worker->port, settings.type.name.c_str(),
+			            host().c_str(), item.second.worker->port, settings.type.name.c_str(),
 			            item.second.worker->zone.c_str(), 600 + as_of);
 		}
 		return {200, "{\"Hosts\":[" + out + "],\"More\":false}"};
@@ -1152,6 +1167,17 @@
 
 // ---- the whole deployment ----
 
+// The controllers that run; ended if the case itself is told to end, as by timeout(1).
+inline std::atomic<int> children[16];
+
+inline void end_children(int)
+{
+	for (auto &child : children)
+		if (child > 0)
+			kill(child, SIGKILL);
+	_exit(2);
+}
+
 class Deployment {
 public:
 	// `program`: the command of the deploy file, to which the settings file is appended.
@@ -1207,6 +1233,7 @@
 			pid = 0;
 		posix_spawn_file_actions_destroy(&actions);
 		pids[node] = pid;
+		children[index] = pid;
 		rec("controller %s started", node.c_str());
 	}
 	void stop()
@@ -1217,6 +1244,8 @@
 				waitpid(item.second, nullptr, 0);
 				item.second = 0;
 			}
+		for (auto &child : children)
+			child = 0;
 		if (!folder.empty() && !getenv("KEEP"))
 			for (const string &node : nodes) {
 				unlink((folder + "/" + node + ".toml").c_str());
@@ -1231,6 +1260,7 @@
 	{
 		for (auto &item : pids)
 			if (item.second > 0 && waitpid(item.second, nullptr, WNOHANG) == item.second) {
+				children[std::find(nodes.begin(), nodes.end(), item.first) - nodes.begin()] = 0;
 				item.second = 0;
 				return item.first;
 			}
@@ -1328,21 +1358,24 @@
 		auto zone = [this](size_t i) { return settings.zones[i % settings.zones.size()]; };
 		string zones;
 		fprintf(file,
-		        "node = \"%s\"\nlocation = \"%s\"\nbind = \"127.0.0.1:%d\"\n"
-		        "cluster_listen = \"127.0.0.1:%d\"\n\n",
-		        node.c_str(), zone(index).c_str(), public_ports[node], peer_ports[node]);
+		        "node = \"%s\"\nlocation = \"%s\"\nbind = \"%s:%d\"\n"
+		        "cluster_listen = \"%s:%d\"\n\n",
+		        node.c_str(), zone(index).c_str(), host().c_str(), public_ports[node],
+		        host().c_str(), peer_ports[node]);
 		for (size_t i = 0; i < nodes.size(); i++)
 			if (i != index)
 				fprintf(file,
 				        "[[known]]\nnode = \"%s\"\nlocation = \"%s\"\n"
-				        "addr = \"127.0.0.1:%d\"\n\n",
-				        nodes[i].c_str(), zone(i).c_str(), peer_ports[nodes[i]]);
+				        "addr = \"%s:%d\"\n\n",
+				        nodes[i].c_str(), zone(i).c_str(), host().c_str(),
+				        peer_ports[nodes[i]]);
 		for (const string &name : settings.zones)
 			zones += (zones.empty() ? "\"" : ", \"") + name + "\"";
 		fprintf(file,
-		        "[external]\ncloud = \"127.0.0.1:%d\"\nstate = \"127.0.0.1:%d\"\n\n"
+		        "[external]\ncloud = \"%s:%d\"\nstate = \"%s:%d\"\n\n"
 		        "[settings]\ninitial_size = %zu\nzones = [%s]\nclock_off_ms = %.1f\n\n",
-		        cloud.port, state.port, nodes.size(), zones.c_str(), settings.clock_off_ms);
+		        host().c_str(), cloud.port, host().c_str(), state.port, nodes.size(),
+		        zones.c_str(), settings.clock_off_ms);
 		for (const Team &team : settings.teams)
 			fprintf(file,
 			        "[[settings.teams]]\nname = \"%s\"\ncpus = 0.0\ncpus_max = 0.0\n"
@@ -1373,6 +1406,8 @@
 inline std::vector<string> begin(int argc, char **argv)
 {
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGTERM, end_children);
+	signal(SIGINT, end_children);
 	now();
 	record_file = argc > 2 ? fopen(argv[1], "w") : nullptr;
 	if (!record_file) {
