--- a/review/standins-2/rig.hh
+++ b/review/standins-2/rig.hh
@@ -747,6 +747,7 @@
 struct JobInfo {
 	string ref;
 	double cpus = 1, gpus = 0, ram_gb = 1, run_s = 4, pull_s = 0;
+	double snapshot_every_s = 0, snapshot_cost_s = 0; // 0: the tasks never save
 	unsigned parts = 1;
 	bool service = false, mistake = false;
 };
@@ -754,6 +755,17 @@
 struct Jobs {
 	std::mutex lock;
 	std::map<string, JobInfo> by_ref;
+	std::map<string, double> saved_by_task; // checkpoints are stored outside the machines
+	double saved_s(const string &task)
+	{
+		std::lock_guard<std::mutex> guard(lock);
+		return saved_by_task[task];
+	}
+	void save(const string &task, double progress_s)
+	{
+		std::lock_guard<std::mutex> guard(lock);
+		saved_by_task[task] = std::max(saved_by_task[task], progress_s);
+	}
 	void add(const JobInfo &job)
 	{
 		std::lock_guard<std::mutex> guard(lock);
@@ -774,9 +786,11 @@
 public:
 	struct Task {
 		long attempt;
-		string state, why; // pulling, running, ended
+		string state, why; // pulling, running, flushing, ended
 		JobInfo job;
 		double runs_at, ends_at;
+		double progress_s = 0; // saved by earlier attempts
+		bool saved = false;
 	};
 	using Observer = std::function<void(const string &event, const Worker &, const string &task,
 	                                    const Task &)>;
@@ -890,6 +904,11 @@
 			}
 			if (task.state == "running" && t >= task.ends_at)
 				end(item.first, task, task.job.mistake ? "error" : "done");
+			if (task.state == "flushing" && t >= task.ends_at) {
+				task.saved = true;
+				jobs.save(item.first.substr(0, item.first.find('@')), task.progress_s);
+				end(item.first, task, "stopped");
+			}
 		}
 	}
 	void launch(const string &part, long attempt)
@@ -919,13 +938,40 @@
 			               (0.95 + 0.1 * (double)(random() % 1000) / 1000);
 			task.state = "pulling";
 			task.runs_at = std::max(now(), pulled);
-			task.ends_at = task.job.service ? 1e18 : task.runs_at + run_s;
+			task.progress_s = jobs.saved_s(part);
+			task.ends_at = task.job.service ? 1e18
+			                                : task.runs_at + std::max(0.0, run_s - task.progress_s);
 			if (done.count(part))
 				task.ends_at = task.runs_at;
 		}
 		observer("launch", *this, key, task);
 		tasks[key] = task;
 	}
+	// A running task with checkpoints saves if there is time; all others exit at once, except
+	// that a task that is saving goes on unless the time is 0.
+	void stop_task(const string &key, Task &task, double wind_down_s)
+	{
+		const JobInfo &job = task.job;
+		double t = now();
+		observer(text("kill %g", wind_down_s), *this, key, task);
+		if (task.state == "flushing" && wind_down_s > 0)
+			return;
+		if (task.state == "flushing") {
+			observer("save cut off", *this, key, task);
+		} else if (task.state == "running" && job.snapshot_every_s > 0) {
+			double ran_s = task.progress_s + t - task.runs_at;
+			jobs.save(key.substr(0, key.find('@')),
+			          std::floor(ran_s / job.snapshot_every_s) * job.snapshot_every_s);
+			if (wind_down_s >= job.snapshot_cost_s) {
+				task.state = "flushing";
+				task.progress_s = ran_s;
+				task.ends_at = t + job.snapshot_cost_s;
+				dirty = true;
+				return;
+			}
+		}
+		end(key, task, "stopped");
+	}
 	void execute(const Json &orders)
 	{
 		for (const Json &order : orders.items) {
@@ -937,7 +983,7 @@
 				launch(order["Part"].str, attempt);
 			} else if (verb == "kill" && found != tasks.end() &&
 			           found->second.state != "ended") {
-				end(key, found->second, "stopped");
+				stop_task(key, found->second, order["WindDownS"].number);
 			} else if (verb == "forget" && found != tasks.end() &&
 			           found->second.state == "ended") {
 				tasks.erase(found);
@@ -956,6 +1002,8 @@
 			         text("\",\"Try\":%ld,\"Status\":\"%s\"", task.attempt, task.state.c_str());
 			if (task.state == "ended")
 				parts += ",\"ExitReason\":\"" + task.why + "\"";
+			if (task.saved)
+				parts += ",\"Saved\":true";
 			parts += "}";
 		}
 		return text("{\"Host\":\"%s\",\"Endpoint\":\"%s:%d\",\"HostKind\":\"%s\","
