--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,11 +1,7 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. See claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
-number=5
 program=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
-[ -x "target/review-2/case-$number" ] && [ -n "$program" ] || exit 2
+[ -x target/review-2/case-5 ] && [ -n "$program" ] || exit 2
 # shellcheck disable=SC2086 # the command and its arguments
-timeout -k 2 118 "target/review-2/case-$number" "review/$number/record.txt" $program
-code=$?
-[ "$code" -le 2 ] || code=2
-exit "$code"
+exec target/review-2/case-5 review/5/record.txt $program
--- a/review/standins-2/rig.hh
+++ b/review/standins-2/rig.hh
@@ -1215,7 +1215,7 @@
 
 // ---- the whole deployment ----
 
-// The controllers that run; ended if the case itself is told to end, as by timeout(1).
+// The controllers that run; ended if the case itself is told to end, or has run too long.
 inline std::atomic<int> children[16];
 
 inline void end_children(int)
@@ -1456,6 +1456,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGTERM, end_children);
 	signal(SIGINT, end_children);
+	signal(SIGALRM, end_children);
+	alarm(118); // a case runs for 120 s at most
 	now();
 	record_file = argc > 2 ? fopen(argv[1], "w") : nullptr;
 	if (!record_file) {
