Logs: which job limits the others by its backfill window

Cause: of a job that waits beside free machines, the logs did not show whether the backfill window of another job kept it from starting, nor that job's estimated wait.

Change: with LOG_LEVEL=debug each cycle with a top job logs its reference, its estimated wait and the window in force.

--- a/src/coordination/scheduling/schedule_backfill.c
+++ b/src/coordination/scheduling/schedule_backfill.c
@@ -134,17 +134,19 @@
 	const struct fl_sched_job *job = &cycle->input->jobs[top];
 	struct attempt_end *ends =
 		malloc(((size_t)cycle->input->attempt_count + 1) * sizeof(*ends));
-	double window_s;
+	double wait_s, window_s;
 
 	if (!ends) {
 		cycle->out_of_memory = true;
 		return;
 	}
-	window_s = cycle->input->params->window_factor * time_until_start(cycle, job, ends);
+	wait_s = time_until_start(cycle, job, ends);
 	free(ends);
+	window_s = cycle->input->params->window_factor * wait_s;
 	if (job->window_remaining_s >= 0 && job->window_remaining_s < window_s)
 		window_s = job->window_remaining_s;
 	cycle->output->top_job = top;
+	cycle->output->top_wait_s = wait_s;
 	cycle->output->window_s = window_s;
 }
 
--- a/src/coordination/scheduling/scheduling_cycle.c
+++ b/src/coordination/scheduling/scheduling_cycle.c
@@ -62,6 +62,16 @@
 	         output->resume_position ? " incomplete=true" : "");
 }
 
+/* Logs which job limits the others by its backfill window. */
+static void log_backfill_window(const struct fl_snapshot *snapshot,
+                                const struct fl_sched_output *output)
+{
+	if (output->top_job < 0)
+		return;
+	fl_debug("schedule", "backfill limited top=%s wait_s=%.1f window_s=%.1f",
+	         snapshot->jobs[output->top_job]->ref, output->top_wait_s, output->window_s);
+}
+
 static void run_cycle(struct fl_node *node)
 {
 	double now = fl_now();
@@ -87,6 +97,7 @@
 	                             snapshot.input.job_count);
 	node->leadership.cycle_count++;
 	log_cycle(node->leadership.cycle_count, &snapshot.input, &output, fl_now() - now);
+	log_backfill_window(&snapshot, &output);
 	if (node->cluster.dirty_jobs)
 		fl_condition_broadcast(&node->record_writer.writes_pending);
 out:
