Backfill: a top job that fits nowhere holds no other job back

Cause: while the array could expect a place, its backfill window was set, and the window was only ever shortened as long as the array stayed on top. Then nothing that ran would end any more, hpwait was infinite, and the remembered window, by then 0, was still the smaller one: no job below could start on any machine that the array could use by type and zone.

Change: the window is that of the paper, omega * hpwait, also when hpwait is infinite, and then the remembered one is forgotten.

--- a/src/coordination/scheduling/schedule.h
+++ b/src/coordination/scheduling/schedule.h
@@ -130,7 +130,7 @@
 	uint32_t *unplaced_tasks; /* per job: tasks with no capacity found or requested */
 	int top_job;              /* index of the blocked top job; -1: none */
 	double top_wait_s;        /* estimated time until the top job can start; INFINITY: never */
-	double window_s;          /* backfill window of the top job from now on */
+	double window_s;          /* the top job's backfill window from now on; INFINITY: none */
 	int resume_position;      /* where the cycle ran out of time; 0: the cycle is complete */
 	long machines_examined;   /* measures the work of the cycle without a clock */
 };
--- a/src/coordination/scheduling/schedule_backfill.c
+++ b/src/coordination/scheduling/schedule_backfill.c
@@ -57,6 +57,27 @@
 	return INFINITY;
 }
 
+/*
+ * Returns whether a task of the job fits on the machine when all attempts there that have an
+ * estimated end have ended.
+ */
+static bool task_will_fit(const struct fl_sched_cycle *cycle, const struct fl_sched_job *job,
+                          int machine_index)
+{
+	const struct fl_sched_input *input = cycle->input;
+	struct fl_resources available = input->machines[machine_index].free;
+
+	for (int k = cycle->first_attempt[machine_index];
+	     k < cycle->first_attempt[machine_index + 1]; k++) {
+		const struct fl_sched_attempt *attempt =
+			&input->attempts[cycle->attempts_by_machine[k]];
+
+		if (attempt->estimated_remaining_s < INFINITY)
+			fl_resources_add(&available, attempt->used);
+	}
+	return fl_resources_fit(job->need, available);
+}
+
 /* Returns whether all startable tasks of a gang fit into these resources, given per machine. */
 static bool gang_fits(const struct fl_sched_input *input, const struct fl_sched_job *job,
                       const struct fl_resources *available)
@@ -127,7 +148,8 @@
 /*
  * The paper's hpwait is computed per machine rather than for the total number of cores, since
  * capacity that is fragmented over machines fits no task. The window only shrinks while the same
- * job stays on top: if each cycle computed it again, it would never end.
+ * job stays on top: if each cycle computed it again, it would never end. It is unlimited while the
+ * job fits nowhere, whatever ends: there is no start that other jobs could delay.
  */
 void fl_sched_set_backfill_window(struct fl_sched_cycle *cycle, int top)
 {
@@ -143,8 +165,8 @@
 	wait_s = time_until_start(cycle, job, ends);
 	free(ends);
 	window_s = cycle->input->params->window_factor * wait_s;
-	if (job->window_remaining_s >= 0 && job->window_remaining_s < window_s)
-		window_s = job->window_remaining_s;
+	if (wait_s < INFINITY && job->window_remaining_s >= 0)
+		window_s = fmin(window_s, job->window_remaining_s);
 	cycle->output->top_job = top;
 	cycle->output->top_wait_s = wait_s;
 	cycle->output->window_s = window_s;
@@ -154,10 +176,12 @@
 {
 	const struct fl_sched_job *top = &cycle->input->jobs[cycle->output->top_job];
 
-	for (int i = 0; i < cycle->input->machine_count; i++)
-		max_duration_s[i] = fl_sched_job_allows_machine(top, &cycle->input->machines[i])
-		                            ? cycle->output->window_s
-		                            : INFINITY;
+	for (int i = 0; i < cycle->input->machine_count; i++) {
+		bool limited = fl_sched_job_allows_machine(top, &cycle->input->machines[i]) &&
+		               task_will_fit(cycle, top, i);
+
+		max_duration_s[i] = limited ? cycle->output->window_s : INFINITY;
+	}
 }
 
 /*
--- a/src/coordination/scheduling/schedule_internal.h
+++ b/src/coordination/scheduling/schedule_internal.h
@@ -121,7 +121,7 @@
 void fl_sched_set_backfill_window(struct fl_sched_cycle *cycle, int top);
 /*
  * Computes how long backfilled tasks may run, per machine; INFINITY on machines that the top job
- * may not use.
+ * may not use, or where it will not fit.
  */
 void fl_sched_compute_backfill_limits(const struct fl_sched_cycle *cycle, double *max_duration_s);
 /* Returns whether the top job's backfill window limits this job. */
--- a/src/coordination/scheduling/scheduling_decisions.c
+++ b/src/coordination/scheduling/scheduling_decisions.c
@@ -50,15 +50,21 @@
 	}
 }
 
+/*
+ * Remembers when the top job's window ends. A window that was set while the job could expect a
+ * place says nothing about the next place: it is forgotten when the job fits nowhere any more.
+ */
 static void apply_backfill_window(const struct fl_snapshot *snapshot,
                                   const struct fl_sched_output *output, double now)
 {
 	struct fl_job *top;
 
-	if (output->top_job < 0 || output->window_s >= INFINITY)
+	if (output->top_job < 0)
 		return;
 	top = snapshot->jobs[output->top_job];
-	if (top->placement.backfill_window_until <= 0)
+	if (output->window_s >= INFINITY)
+		top->placement.backfill_window_until = 0;
+	else if (top->placement.backfill_window_until <= 0)
 		top->placement.backfill_window_until = now + output->window_s;
 }
 
--- a/tests/schedule_model.h
+++ b/tests/schedule_model.h
@@ -94,6 +94,10 @@
 struct fl_resources model_available_resources(const struct model *model,
                                               const struct fl_sched_job *job, int machine_index);
 
+/* Returns whether a task of the job fits on a machine once all its attempts but services ended. */
+bool model_task_will_fit(const struct model *model, const struct fl_sched_job *job,
+                         int machine_index);
+
 /* Returns the seconds until the next start of the job fits, by the estimates of the attempts. */
 double model_time_to_fit_s(const struct model *model, const struct fl_sched_job *job);
 
--- a/tests/schedule_model_rules.c
+++ b/tests/schedule_model_rules.c
@@ -190,6 +190,12 @@
 	return available;
 }
 
+bool model_task_will_fit(const struct model *model, const struct fl_sched_job *job,
+                         int machine_index)
+{
+	return model_task_fits(job, model_free_resources_at(model, machine_index, INFINITY));
+}
+
 /* Returns whether the job's next start fits `time_s` from now, by the estimates. */
 static bool model_job_fits_at(const struct model *model, const struct fl_sched_job *job,
                               double time_s)
--- /dev/null
+++ b/tests/test_backfill_hold.c
@@ -0,0 +1,98 @@
+/*
+ * The backfill window over several scheduling cycles of a leader: what it remembers of the top job,
+ * and for how long it may keep other jobs from starting.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "coordination/scheduling/scheduling_decisions.h"
+#include "coordination/scheduling/scheduling_snapshot.h"
+#include "node_fixture.h"
+#include "transport/clock.h"
+
+/* Adds a job; a service if `estimate_s` is 0. */
+static struct fl_job *add_job(struct node_fixture *fixture, const char *ref, uint32_t task_count,
+                              double cpus, double estimate_s)
+{
+	struct fl_job_spec spec = {.task_count = task_count,
+	                           .kind = estimate_s > 0 ? FL_ARRAY : FL_SERVICE,
+	                           .cpus = cpus,
+	                           .ram_gb = 1,
+	                           .priority = FL_STANDARD,
+	                           .expected_s = estimate_s,
+	                           .machine_type_count = -1,
+	                           .due_s = -1};
+
+	strcpy(spec.ref, ref);
+	strcpy(spec.team, "team");
+	strcpy(spec.job_class, "c");
+	strcpy(spec.image, "i");
+	return fl_job_add(&fixture->node.cluster, &spec, 0, fl_wall_time());
+}
+
+static void place_first_task(struct node_fixture *fixture, struct fl_job *job)
+{
+	const struct fl_new_attempt attempt = {only_machine(fixture), FENCING_TOKEN};
+
+	assert_int_equal(fl_task_place(&fixture->node.cluster, job, 0, &attempt, fl_now()),
+	                 FL_PLACE_OK);
+}
+
+/* Runs one scheduling cycle of the leader; returns the number of starts. */
+static int run_cycle(struct node_fixture *fixture)
+{
+	struct fl_sched_output output = {0};
+	struct fl_snapshot snapshot;
+	int start_count;
+
+	assert_int_equal(fl_snapshot_take(&fixture->node, &snapshot, fl_now()), FL_SCHEDULE_OK);
+	assert_int_equal(fl_schedule(&snapshot.input, &output), FL_SCHEDULE_OK);
+	fl_scheduling_decisions_apply(&fixture->node, &snapshot, &output, fl_now());
+	start_count = output.start_count;
+	fl_sched_output_free(&output);
+	fl_snapshot_free(&snapshot);
+	return start_count;
+}
+
+/* Adds a machine of 8 CPUs, of which a service uses 5. */
+static void add_machine_with_service(struct node_fixture *fixture)
+{
+	deliver_idle_heartbeat(fixture, 1, 1);
+	fixture->job->cancelled = true; /* the fixture's own job is not scheduled */
+	place_first_task(fixture, add_job(fixture, "run-000002", 1, 5, 0));
+}
+
+/*
+ * Guards against a window that outlives its reason: the top job's window ended, a service took the
+ * place that it waited for, and the jobs below waited for as long as the service ran. When the top
+ * job can expect a place again, its window is a new one.
+ */
+static void the_window_of_a_top_job_that_fits_nowhere_is_forgotten(void **state)
+{
+	struct node_fixture *fixture = *state;
+	struct fl_job *top, *lower;
+
+	add_machine_with_service(fixture);
+	top = add_job(fixture, "run-000003", 1, 5, 20);
+	top->submitted_wall -= 1000;
+	top->placement.backfill_window_until = fl_now() - 1;
+	lower = add_job(fixture, "run-000004", 2, 3, 300);
+
+	assert_int_equal(run_cycle(fixture), 1);
+	assert_int_equal(lower->counts.placed, 1);
+	assert_true(top->placement.backfill_window_until <= 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		NODE_TEST(the_window_of_a_top_job_that_fits_nowhere_is_forgotten),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_schedule_backfill.c
+++ b/tests/test_schedule_backfill.c
@@ -63,11 +63,92 @@
 	fl_sched_output_free(&output);
 }
 
+/* Returns a service that runs on a machine, given by its index: it never ends by itself. */
+static struct fl_sched_attempt running_service(int machine, double cpus)
+{
+	struct fl_sched_attempt attempt = running_attempt(machine, cpus, INFINITY);
+
+	attempt.service = true;
+	return attempt;
+}
+
+/*
+ * Guards against jobs that wait beside free machines for as long as a service runs (review case 4):
+ * the window was set while the top job could still expect a place, and was kept when it could not.
+ */
+static void a_top_job_that_fits_nowhere_holds_no_job_back(void **state)
+{
+	struct snapshot snapshot = {.job_count = 2, .machine_count = 1, .attempt_count = 1};
+	struct fl_sched_output output;
+
+	(void)state;
+	snapshot.jobs[0] = plain_job(8, 2, 20, 1000);
+	snapshot.jobs[0].window_remaining_s = 0;
+	snapshot.jobs[1] = plain_job(3, 2, 300, 1);
+	snapshot.machines[0] = plain_machine(4);
+	snapshot.attempts[0] = running_service(0, 8);
+	run_schedule(&snapshot, &output);
+
+	assert_int_equal(output.top_job, 0);
+	assert_true(output.window_s >= INFINITY);
+	assert_int_equal(output.start_count, 1);
+	assert_int_equal(output.starts[0].job, 1);
+	fl_sched_output_free(&output);
+}
+
+/* The same where the top job can expect a place on one machine, but not on the other. */
+static void a_machine_on_which_the_top_job_cannot_fit_is_not_limited(void **state)
+{
+	struct snapshot snapshot = {.job_count = 2, .machine_count = 2, .attempt_count = 2};
+	struct fl_sched_output output;
+
+	(void)state;
+	snapshot.jobs[0] = plain_job(8, 2, 20, 1000);
+	snapshot.jobs[0].window_remaining_s = 0;
+	snapshot.jobs[1] = plain_job(3, 2, 300, 1);
+	for (int i = 0; i < snapshot.machine_count; i++)
+		snapshot.machines[i] = plain_machine(4);
+	snapshot.attempts[0] = running_attempt(0, 8, 100);
+	snapshot.attempts[1] = running_service(1, 8);
+	run_schedule(&snapshot, &output);
+
+	assert_true(output.window_s <= 0);
+	assert_int_equal(output.start_count, 1);
+	assert_int_equal(output.starts[0].machine, 1);
+	fl_sched_output_free(&output);
+}
+
+/* A gang in the same place: the machine has no room for any of its tasks, whatever ends. */
+static void a_machine_on_which_no_task_of_a_gang_can_fit_is_not_limited(void **state)
+{
+	struct snapshot snapshot = {.job_count = 2, .machine_count = 2, .attempt_count = 2};
+	struct fl_sched_output output;
+
+	(void)state;
+	snapshot.jobs[0] = plain_job(6, 2, 20, 1000);
+	snapshot.jobs[0].gang = true;
+	snapshot.jobs[0].window_remaining_s = 0;
+	snapshot.jobs[1] = plain_job(3, 2, 300, 1);
+	for (int i = 0; i < snapshot.machine_count; i++)
+		snapshot.machines[i] = plain_machine(4);
+	snapshot.attempts[0] = running_attempt(0, 8, 100);
+	snapshot.attempts[1] = running_service(1, 8);
+	run_schedule(&snapshot, &output);
+
+	assert_true(output.window_s <= 0);
+	assert_int_equal(output.start_count, 1);
+	assert_int_equal(output.starts[0].machine, 1);
+	fl_sched_output_free(&output);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_backfill_window_is_not_shortened_by_fragmented_capacity),
 		cmocka_unit_test(a_backfill_window_does_not_restart_with_each_cycle),
+		cmocka_unit_test(a_top_job_that_fits_nowhere_holds_no_job_back),
+		cmocka_unit_test(a_machine_on_which_the_top_job_cannot_fit_is_not_limited),
+		cmocka_unit_test(a_machine_on_which_no_task_of_a_gang_can_fit_is_not_limited),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
