Backfill: the window holds a job beside a free place for 60 s at most

Cause: the window is right as long as the estimates are. Nothing bounded the time for which it kept others waiting.

Change: the cycle tells for each job whether only the window keeps it from a free place (fl_sched_hold); the leader remembers since when. After 60 s one task of the job starts there, of a gang all. Only jobs with nothing placed count, and services.

--- a/src/coordination/scheduling/schedule.c
+++ b/src/coordination/scheduling/schedule.c
@@ -68,10 +68,13 @@
 	if (max_duration_s && estimate_s <= 0)
 		job->estimate_s =
 			job->service ? INFINITY : cycle->input->params->default_estimate_s;
-	if (fl_sched_start_fitting_tasks(cycle, job_index, max_duration_s))
+	if (fl_sched_start_fitting_tasks(cycle, job_index, max_duration_s)) {
+		if (fl_sched_is_held(cycle, job_index))
+			cycle->output->holds[job_index] = FL_SCHED_HELD;
 		cycle->output->unplaced_tasks[job_index] =
 			job->startable_count - cycle->tasks_awaiting_image -
 			fl_sched_request_preemptions(cycle, job_index, max_duration_s);
+	}
 	job->estimate_s = estimate_s;
 }
 
@@ -83,6 +86,11 @@
 	bool backfill = cycle->output->top_job >= 0;
 	bool bound_by_window = backfill && fl_sched_is_bound_by_window(cycle, job);
 
+	cycle->output->holds[job_index] = FL_SCHED_NOT_HELD;
+	if (bound_by_window && fl_sched_hold_is_over(cycle->input->params, job))
+		fl_sched_start_held_task(cycle, job_index);
+	if (job->startable_count == 0)
+		return;
 	consider_job(cycle, job_index, bound_by_window ? backfill_limits_s : NULL);
 	if (backfill || cycle->output->unplaced_tasks[job_index] == 0)
 		return;
@@ -150,10 +158,11 @@
 	cycle->attempts_by_machine = malloc(attempt_count * sizeof(*cycle->attempts_by_machine));
 	cycle->lowest_priority = malloc(machine_count * sizeof(*cycle->lowest_priority));
 	cycle->output->unplaced_tasks = calloc(job_count, sizeof(*cycle->output->unplaced_tasks));
+	cycle->output->holds = calloc(job_count, sizeof(*cycle->output->holds));
 	return cycle->order && cycle->rank && cycle->effective_priority && cycle->releasing &&
 	       cycle->start_cost && cycle->preemption_cost && cycle->victims &&
 	       cycle->first_attempt && cycle->attempts_by_machine && cycle->lowest_priority &&
-	       cycle->output->unplaced_tasks;
+	       cycle->output->unplaced_tasks && cycle->output->holds;
 }
 
 static void free_cycle(struct fl_sched_cycle *cycle)
@@ -194,5 +203,6 @@
 	free(output->starts);
 	free(output->preemptions);
 	free(output->unplaced_tasks);
+	free(output->holds);
 	memset(output, 0, sizeof(*output));
 }
--- a/src/coordination/scheduling/schedule.h
+++ b/src/coordination/scheduling/schedule.h
@@ -29,6 +29,7 @@
 	double overdue_after_s;    /* wait after which a job is overdue: see aging_exponent */
 	double aging_exponent;     /* exponent by which the weight of the wait grows from then on */
 	double background_overdue_factor; /* factor on overdue_after_s for background jobs */
+	double max_hold_s; /* time for which only the backfill window may keep a job waiting */
 };
 
 /* The parameters that controllers use; schedule_order.c gives the reasons. */
@@ -56,6 +57,7 @@
 	uint32_t placed_by_zone[FL_ZONES_MAX], placed_in_unknown_zone; /* placed tasks, by zone */
 	int image;
 	double window_remaining_s; /* rest of its backfill window; < 0: no window yet */
+	double held_s;             /* for how long it has been held: see fl_sched_hold */
 };
 
 /*
@@ -121,18 +123,29 @@
 	int job, machine;
 };
 
+/*
+ * Whether a job is held: it has nothing placed, or is a service, and a task could start now if the
+ * backfill window of the top job did not limit it.
+ */
+enum fl_sched_hold {
+	FL_SCHED_HOLD_UNKNOWN = 0, /* the cycle ran out of time before it considered the job */
+	FL_SCHED_NOT_HELD,
+	FL_SCHED_HELD
+};
+
 /* The decisions; the output owns the arrays. */
 struct fl_sched_output {
 	struct fl_sched_start *starts;
 	int start_count, start_capacity;
 	int *preemptions; /* indices of the attempts to be stopped */
 	int preemption_count, preemption_capacity;
-	uint32_t *unplaced_tasks; /* per job: tasks with no capacity found or requested */
-	int top_job;              /* index of the blocked top job; -1: none */
-	double top_wait_s;        /* estimated time until the top job can start; INFINITY: never */
-	double window_s;          /* the top job's backfill window from now on; INFINITY: none */
-	int resume_position;      /* where the cycle ran out of time; 0: the cycle is complete */
-	long machines_examined;   /* measures the work of the cycle without a clock */
+	uint32_t *unplaced_tasks;  /* per job: tasks with no capacity found or requested */
+	enum fl_sched_hold *holds; /* per job */
+	int top_job;               /* index of the blocked top job; -1: none */
+	double top_wait_s;         /* estimated time until the top job can start; INFINITY: never */
+	double window_s;           /* the top job's backfill window from now on; INFINITY: none */
+	int resume_position;       /* where the cycle ran out of time; 0: the cycle is complete */
+	long machines_examined;    /* measures the work of the cycle without a clock */
 };
 
 /* The result of a step of a cycle, and whether its output can be used. */
--- a/src/coordination/scheduling/schedule_backfill.c
+++ b/src/coordination/scheduling/schedule_backfill.c
@@ -194,3 +194,40 @@
 	return !fl_sched_is_urgent_service(job) &&
 	       job->priority <= cycle->input->jobs[cycle->output->top_job].priority;
 }
+
+/*
+ * The window protects the top job, but a job that it keeps waiting beside a free place for long
+ * must begin nevertheless: the estimates of what the top job waits for may be wrong, and new work
+ * may take its place. Only one task begins at a time, so most of the capacity stays with the top
+ * job.
+ */
+bool fl_sched_hold_is_over(const struct fl_sched_params *params, const struct fl_sched_job *job)
+{
+	return job->held_s >= params->max_hold_s;
+}
+
+/* Returns whether no task of the job may be on a machine. */
+static bool has_nothing_placed(const struct fl_sched_job *job)
+{
+	for (int z = 0; z < FL_ZONES_MAX; z++)
+		if (job->placed_by_zone[z] > 0)
+			return false;
+	return job->placed_in_unknown_zone == 0;
+}
+
+/* Returns whether this cycle, which considers each job once, has just started tasks of the job. */
+static bool has_just_started(const struct fl_sched_output *output, int job_index)
+{
+	return output->start_count > 0 && output->starts[output->start_count - 1].job == job_index;
+}
+
+bool fl_sched_is_held(struct fl_sched_cycle *cycle, int job_index)
+{
+	const struct fl_sched_job *job = &cycle->input->jobs[job_index];
+
+	if (has_just_started(cycle->output, job_index))
+		return false;
+	if (!cycle->window_kept_task || (!job->service && !has_nothing_placed(job)))
+		return false;
+	return !job->gang || fl_sched_gang_could_start(cycle, job_index);
+}
--- a/src/coordination/scheduling/schedule_internal.h
+++ b/src/coordination/scheduling/schedule_internal.h
@@ -39,6 +39,8 @@
 	 * that have their image cached.
 	 */
 	uint32_t tasks_awaiting_image;
+	/* Only the backfill window kept a task of the job being considered from some machine. */
+	bool window_kept_task;
 	bool out_of_memory; /* an allocation failed: the output is incomplete */
 };
 
@@ -98,6 +100,13 @@
  */
 bool fl_sched_start_fitting_tasks(struct fl_sched_cycle *cycle, int job_index,
                                   const double *max_duration_s);
+/*
+ * Starts one task of a job, or all tasks of a gang, if there is a free place, regardless of the
+ * backfill window.
+ */
+void fl_sched_start_held_task(struct fl_sched_cycle *cycle, int job_index);
+/* Returns whether a whole gang could start now, regardless of the backfill window. */
+bool fl_sched_gang_could_start(struct fl_sched_cycle *cycle, int job_index);
 
 /* ---- preemption: schedule_preemption.c ---- */
 
@@ -127,5 +136,12 @@
 /* Returns whether the top job's backfill window limits this job. */
 bool fl_sched_is_bound_by_window(const struct fl_sched_cycle *cycle,
                                  const struct fl_sched_job *job);
+/* Returns whether the window has held the job for so long that one of its tasks may start. */
+bool fl_sched_hold_is_over(const struct fl_sched_params *params, const struct fl_sched_job *job);
+/*
+ * Returns whether the window holds the job that has just been considered within it, and that was
+ * short of capacity.
+ */
+bool fl_sched_is_held(struct fl_sched_cycle *cycle, int job_index);
 
 #endif
--- a/src/coordination/scheduling/schedule_order.c
+++ b/src/coordination/scheduling/schedule_order.c
@@ -18,6 +18,7 @@
 	.overdue_after_s = 120,     /* half of the wait that users accept for the largest job */
 	.aging_exponent = 4, /* at twice overdue_after_s, the wait outweighs all but the priority */
 	.background_overdue_factor = 3, /* background jobs have no deadline */
+	.max_hold_s = 60, /* no job may wait for 90 s beside a free place, image fetch included */
 };
 
 static const struct {
--- a/src/coordination/scheduling/schedule_placement.c
+++ b/src/coordination/scheduling/schedule_placement.c
@@ -3,14 +3,15 @@
 
 #include <math.h>
 
-/* The limits on where and for how long the tasks of the job being considered may run. */
+/* The limits on where, for how long and how many tasks of the job being considered may run. */
 struct start_limits {
 	int zone;                     /* the only allowed zone, or FL_ANY_ZONE */
 	const double *max_duration_s; /* per machine; NULL: no limit */
+	uint32_t max_count;           /* number of tasks */
 };
 
 /* Returns the cost of a start on one machine; INFINITY: not possible. */
-static double start_cost(const struct fl_sched_cycle *cycle, const struct fl_sched_job *job,
+static double start_cost(struct fl_sched_cycle *cycle, const struct fl_sched_job *job,
                          struct start_limits limits, int machine_index)
 {
 	const struct fl_sched_machine *machine = &cycle->input->machines[machine_index];
@@ -24,8 +25,10 @@
 	if (!fl_sched_job_allows_machine(job, machine) ||
 	    !fl_sched_job_allows_zone(job, machine->zone))
 		return INFINITY;
-	if (limits.max_duration_s && limits.max_duration_s[machine_index] < job->estimate_s)
+	if (limits.max_duration_s && limits.max_duration_s[machine_index] < job->estimate_s) {
+		cycle->window_kept_task = true;
 		return INFINITY;
+	}
 	return fl_sched_placement_cost(cycle->input, job, machine);
 }
 
@@ -115,20 +118,19 @@
 }
 
 /*
- * Starts the job's tasks one by one, each on the machine of the lowest cost; of an overdue array
- * only one task. Returns whether tasks are left for lack of capacity.
+ * Starts the job's tasks one by one, each on the machine of the lowest cost. Returns whether fewer
+ * than `limits.max_count` were started for lack of capacity.
  */
 static bool start_tasks_one_by_one(struct fl_sched_cycle *cycle, int job_index,
-                                   const double *max_duration_s)
+                                   struct start_limits limits)
 {
 	struct fl_sched_job *job = &cycle->input->jobs[job_index];
-	struct start_limits limits = {choose_zone(cycle->input, job), max_duration_s};
-	bool one_task_only = fl_sched_is_overdue(cycle->input->params, job) && !job->gang;
-	uint32_t held_back_count = one_task_only ? job->startable_count - 1 : 0;
+	uint32_t remaining_count = job->startable_count - limits.max_count;
 
 	cycle->tasks_awaiting_image = 0;
+	cycle->window_kept_task = false;
 	compute_start_costs(cycle, job, limits);
-	while (job->startable_count > held_back_count + cycle->tasks_awaiting_image &&
+	while (job->startable_count > remaining_count + cycle->tasks_awaiting_image &&
 	       !cycle->out_of_memory) {
 		int best;
 
@@ -148,14 +150,45 @@
 	return false;
 }
 
-bool fl_sched_start_fitting_tasks(struct fl_sched_cycle *cycle, int job_index,
-                                  const double *max_duration_s)
+/* Starts up to `max_count` tasks; of a gang all or none. Returns as start_tasks_one_by_one. */
+static bool start_tasks(struct fl_sched_cycle *cycle, int job_index, uint32_t max_count,
+                        const double *max_duration_s)
 {
 	const struct fl_sched_job *job = &cycle->input->jobs[job_index];
+	struct start_limits limits = {.zone = choose_zone(cycle->input, job),
+	                              .max_duration_s = max_duration_s,
+	                              .max_count = job->gang ? job->startable_count : max_count};
 	int earlier_count = cycle->output->start_count;
-	bool short_of_capacity = start_tasks_one_by_one(cycle, job_index, max_duration_s);
+	bool short_of_capacity = start_tasks_one_by_one(cycle, job_index, limits);
 
 	if (job->gang && job->startable_count > 0)
 		undo_starts(cycle, earlier_count);
 	return short_of_capacity;
 }
+
+/* Of an overdue array, only one task is started. */
+bool fl_sched_start_fitting_tasks(struct fl_sched_cycle *cycle, int job_index,
+                                  const double *max_duration_s)
+{
+	const struct fl_sched_job *job = &cycle->input->jobs[job_index];
+	bool overdue = fl_sched_is_overdue(cycle->input->params, job);
+
+	return start_tasks(cycle, job_index, overdue ? 1 : job->startable_count, max_duration_s);
+}
+
+void fl_sched_start_held_task(struct fl_sched_cycle *cycle, int job_index)
+{
+	start_tasks(cycle, job_index, 1, NULL);
+}
+
+bool fl_sched_gang_could_start(struct fl_sched_cycle *cycle, int job_index)
+{
+	const struct fl_sched_job *job = &cycle->input->jobs[job_index];
+	int earlier_count = cycle->output->start_count;
+	bool could_start;
+
+	start_tasks(cycle, job_index, job->startable_count, NULL);
+	could_start = job->startable_count == 0;
+	undo_starts(cycle, earlier_count);
+	return could_start;
+}
--- a/src/coordination/scheduling/scheduling_decisions.c
+++ b/src/coordination/scheduling/scheduling_decisions.c
@@ -20,6 +20,7 @@
 	if (job->priority >= machine->reservation.priority)
 		machine->reservation.reserved_at = 0;
 	job->placement.backfill_window_until = 0;
+	job->placement.held_since = 0;
 	machine->outbound.command_pending = true;
 	fl_info("schedule", "task placed task=%s/%u attempt=%u machine=%s", job->ref, index,
 	        fl_task_find(job, index)->attempt, machine->name);
@@ -68,6 +69,20 @@
 		top->placement.backfill_window_until = now + output->window_s;
 }
 
+/* Remembers since when the backfill window has held jobs; a start ends the hold of its job. */
+static void apply_holds(const struct fl_snapshot *snapshot, const struct fl_sched_output *output,
+                        double now)
+{
+	for (int i = 0; i < snapshot->input.job_count; i++) {
+		double *held_since = &snapshot->jobs[i]->placement.held_since;
+
+		if (output->holds[i] == FL_SCHED_NOT_HELD)
+			*held_since = 0;
+		else if (output->holds[i] == FL_SCHED_HELD && *held_since <= 0)
+			*held_since = now;
+	}
+}
+
 static void apply_reservations(const struct fl_snapshot *snapshot, double now)
 {
 	for (int i = 0; i < snapshot->input.machine_count; i++) {
@@ -92,6 +107,7 @@
 void fl_scheduling_decisions_apply(struct fl_node *node, const struct fl_snapshot *snapshot,
                                    const struct fl_sched_output *output, double now)
 {
+	apply_holds(snapshot, output, now);
 	apply_starts(node, snapshot, output, now);
 	apply_preemptions(node, snapshot, output);
 	apply_backfill_window(snapshot, output, now);
--- a/src/coordination/scheduling/scheduling_snapshot.c
+++ b/src/coordination/scheduling/scheduling_snapshot.c
@@ -120,6 +120,8 @@
 	target->background = is_background_job(builder->node, job);
 	target->begun = job->counts.placed > 0 || job->counts.done > 0;
 	target->window_remaining_s = backfill_window_remaining_s(job, builder->now);
+	target->held_s =
+		job->placement.held_since > 0 ? builder->now - job->placement.held_since : 0;
 	snapshot->jobs[snapshot->input.job_count++] = job;
 }
 
--- a/src/storage/cluster.h
+++ b/src/storage/cluster.h
@@ -84,6 +84,8 @@
 	uint32_t waiting_scan_start;    /* no task with a lower index is WAITING */
 	/* End of the backfill window of a job that is first in the queue; 0: not set. */
 	double backfill_window_until;
+	/* Since when only the window of another job keeps it waiting; 0: it does not. */
+	double held_since;
 };
 
 /* When the tasks of a failing job may be started again. */
--- a/tests/fault_combinations_load.c
+++ b/tests/fault_combinations_load.c
@@ -246,6 +246,14 @@
          .first_variant = 52,
          .variant_count = 2,
          .protects = "schedule_backfill.c: windows of jobs that fit nowhere"},
+	/* Guards against a window that holds other jobs without end while its estimates are wrong.
+         */
+	{.name = "no_more_machines",
+         .seed_name = "no_more_machines",
+         .inject_faults = no_more_machines,
+         .first_variant = 158,
+         .variant_count = 1,
+         .protects = "schedule_backfill.c: the time for which a window holds other jobs"},
 	{.name = "cancel_at_completion",
          .seed_name = "cancel_at_end",
          .inject_faults = cancel_at_completion,
--- a/tests/schedule_model.c
+++ b/tests/schedule_model.c
@@ -62,13 +62,14 @@
 	job->startable_count--;
 }
 
-/* Starts the tasks that fit; returns whether a remaining task found no machine. */
+/*
+ * Starts the tasks that fit, at most one if `only_one_task` and the job is no gang. Returns whether
+ * a remaining task found no machine.
+ */
 static bool model_start_fitting_tasks(struct model *model, int job_index,
-                                      const struct model_constraint *constraint)
+                                      const struct model_constraint *constraint, bool only_one_task)
 {
 	struct fl_sched_job *job = &model->snapshot.jobs[job_index];
-	const bool only_one_task =
-		!job->service && !job->begun && job->waited_s > OVERDUE_AFTER_S && !job->gang;
 	const uint32_t startable_at_begin = job->startable_count;
 	struct model *saved_model = NULL;
 	int zone = model_zone_choice(model, job);
@@ -80,7 +81,7 @@
 		*saved_model = *model;
 	}
 	while (job->startable_count > model->awaiting_image_count &&
-	       !(only_one_task && job->startable_count < startable_at_begin)) {
+	       !(only_one_task && !job->gang && job->startable_count < startable_at_begin)) {
 		int best;
 
 		if (!model_within_team_maximum(model, job))
@@ -100,11 +101,16 @@
 	return no_machine;
 }
 
+static bool model_is_overdue(const struct fl_sched_job *job)
+{
+	return !job->service && !job->begun && job->waited_s > OVERDUE_AFTER_S;
+}
+
 static int model_job_rank(const struct fl_sched_job *job)
 {
 	if (job->service && job->priority >= FL_URGENT)
 		return RANK_URGENT_SERVICE;
-	if (!job->service && !job->begun && job->waited_s > OVERDUE_AFTER_S)
+	if (model_is_overdue(job))
 		return 2;
 	return job->within_guaranteed_quota || job->holds_guarantee ? 1 : 0;
 }
@@ -168,19 +174,61 @@
 	}
 }
 
+/*
+ * No job may be left waiting for 90 s beside a machine with room. So a job of which nothing runs,
+ * or a service, that has had room for 60 s, but for the window, gets one task, and a gang all.
+ */
+static void model_start_held_task(struct model *model, int job_index)
+{
+	const struct model_constraint no_limit = {0};
+
+	if (model->snapshot.jobs[job_index].held_s >= 60)
+		model_start_fitting_tasks(model, job_index, &no_limit, true);
+}
+
+/* Returns whether a task of the job, or the whole gang, could start but for the window. */
+static bool model_could_start_without_window(const struct model *model, int job_index)
+{
+	const struct model_constraint no_limit = {0};
+	struct model *copy = malloc(sizeof(*copy));
+	bool could_start;
+
+	*copy = *model;
+	model_start_fitting_tasks(copy, job_index, &no_limit, true);
+	could_start = copy->start_count > model->start_count;
+	free(copy);
+	return could_start;
+}
+
+static bool model_waits_with_nothing_placed(const struct fl_sched_job *job)
+{
+	uint32_t placed = job->placed_in_unknown_zone;
+
+	for (int z = 0; z < FL_ZONES_MAX; z++)
+		placed += job->placed_by_zone[z];
+	return job->service || placed == 0;
+}
+
 static void model_place_job(struct model *model, int job_index, double *max_task_duration_s)
 {
 	struct fl_sched_job *job = &model->snapshot.jobs[job_index];
 	struct model_constraint constraint = {.estimate_s = job->estimate_s > 0 ? job->estimate_s
 	                                                    : job->service      ? INFINITY
 	                                                                        : 3600};
+	const int earlier_starts = model->start_count;
 
 	/* The window of the top job does not limit jobs that may preempt the top job's tasks. */
 	if (model->top_job >= 0 && model_job_rank(job) != RANK_URGENT_SERVICE &&
-	    job->priority <= model->snapshot.jobs[model->top_job].priority)
+	    job->priority <= model->snapshot.jobs[model->top_job].priority) {
 		constraint.max_task_duration_s = max_task_duration_s;
-	if (!model_start_fitting_tasks(model, job_index, &constraint))
+		model_start_held_task(model, job_index);
+	}
+	if (!model_start_fitting_tasks(model, job_index, &constraint, model_is_overdue(job)))
 		return;
+	model->held[job_index] = constraint.max_task_duration_s &&
+	                         model->start_count == earlier_starts &&
+	                         model_waits_with_nothing_placed(job) &&
+	                         model_could_start_without_window(model, job_index);
 	model->unplaced_tasks[job_index] = job->startable_count - model->awaiting_image_count -
 	                                   model_request_job_capacity(model, job_index, constraint);
 	if (model->unplaced_tasks[job_index] > 0 && model->top_job < 0)
--- a/tests/schedule_model.h
+++ b/tests/schedule_model.h
@@ -18,6 +18,7 @@
 	int start_count, preemption_count, top_job;
 	double window_s;
 	uint32_t unplaced_tasks[JOBS_MAX];
+	bool held[JOBS_MAX]; /* waits beside a free place that only the window keeps it from */
 	/* Tasks of the job being considered that wait for a machine with their image. */
 	uint32_t awaiting_image_count;
 };
--- a/tests/schedule_random.c
+++ b/tests/schedule_random.c
@@ -95,6 +95,7 @@
 		job->spot_allowed = random_below(rng, 2) > 0;
 		job->image = (int)random_below(rng, 5);
 		job->window_remaining_s = random_below(rng, 2) ? -1 : random_below(rng, 300);
+		job->held_s = i % 3 == 2 ? 60 : i % 3 * 59; /* not drawn, as above */
 	}
 }
 
--- a/tests/test_backfill_hold.c
+++ b/tests/test_backfill_hold.c
@@ -88,10 +88,39 @@
 	assert_true(top->placement.backfill_window_until <= 0);
 }
 
+/*
+ * Guards against a job that waits without end beside a machine with room, because the task that the
+ * top job waits for runs on past its estimate.
+ */
+static void a_job_is_held_for_a_bounded_time(void **state)
+{
+	const double max_hold_s = fl_sched_default_params.max_hold_s;
+	struct node_fixture *fixture = *state;
+	struct fl_job *top, *running, *lower;
+
+	add_machine_with_service(fixture);
+	running = add_job(fixture, "run-000003", 1, 2, 1);
+	place_first_task(fixture, running);
+	top = add_job(fixture, "run-000004", 1, 3, 1);
+	top->submitted_wall -= 1000;
+	top->placement.backfill_window_until = fl_now() - 1;
+	lower = add_job(fixture, "run-000005", 2, 1, 300);
+
+	assert_int_equal(run_cycle(fixture), 0);
+	assert_true(lower->placement.held_since > 0);
+	lower->placement.held_since -= max_hold_s / 2;
+	assert_int_equal(run_cycle(fixture), 0);
+	lower->placement.held_since -= max_hold_s / 2;
+	assert_int_equal(run_cycle(fixture), 1);
+	assert_int_equal(lower->counts.placed, 1);
+	assert_true(lower->placement.held_since <= 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		NODE_TEST(the_window_of_a_top_job_that_fits_nowhere_is_forgotten),
+		NODE_TEST(a_job_is_held_for_a_bounded_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_schedule_backfill.c
+++ b/tests/test_schedule_backfill.c
@@ -141,6 +141,81 @@
 	fl_sched_output_free(&output);
 }
 
+/* A top job that waits for the end of 12 of 16 CPUs, and a job whose tasks fit but end too late. */
+static struct snapshot make_holding_site(void)
+{
+	struct snapshot snapshot = {.job_count = 2, .machine_count = 1, .attempt_count = 1};
+
+	snapshot.jobs[0] = plain_job(8, 2, 20, 1000);
+	snapshot.jobs[0].window_remaining_s = 0;
+	snapshot.jobs[1] = plain_job(2, 2, 300, 1);
+	snapshot.machines[0] = plain_machine(4);
+	snapshot.attempts[0] = running_attempt(0, 12, 1);
+	return snapshot;
+}
+
+/*
+ * Guards against jobs that wait for 90 s beside a machine with room: what the top job waits for may
+ * run on past its estimate, or new work may take the place.
+ */
+static void a_job_held_for_long_gets_one_task(void **state)
+{
+	struct snapshot snapshot = make_holding_site();
+	struct fl_sched_output output;
+
+	(void)state;
+	snapshot.jobs[1].held_s = fl_sched_default_params.max_hold_s - 1;
+	run_schedule(&snapshot, &output);
+	assert_int_equal(output.start_count, 0);
+	assert_int_equal(output.holds[1], FL_SCHED_HELD);
+	fl_sched_output_free(&output);
+
+	snapshot = make_holding_site();
+	snapshot.jobs[1].held_s = fl_sched_default_params.max_hold_s;
+	run_schedule(&snapshot, &output);
+	assert_int_equal(output.start_count, 1);
+	assert_int_equal(output.starts[0].job, 1);
+	assert_int_equal(output.holds[1], FL_SCHED_NOT_HELD);
+	fl_sched_output_free(&output);
+}
+
+/* A job of which a task runs is not left waiting; its other tasks leave the place to the top job.
+ */
+static void an_array_of_which_a_task_runs_is_not_held(void **state)
+{
+	struct snapshot snapshot = make_holding_site();
+	struct fl_sched_output output;
+
+	(void)state;
+	snapshot.jobs[1].placed_by_zone[0] = 1;
+	run_schedule(&snapshot, &output);
+	assert_int_equal(output.start_count, 0);
+	assert_int_equal(output.holds[1], FL_SCHED_NOT_HELD);
+	fl_sched_output_free(&output);
+}
+
+/* A gang starts as a whole or not at all, also after it was held. */
+static void a_gang_held_for_long_starts_as_a_whole(void **state)
+{
+	struct snapshot snapshot = make_holding_site();
+	struct fl_sched_output output;
+
+	(void)state;
+	snapshot.jobs[1].gang = true;
+	snapshot.jobs[1].held_s = fl_sched_default_params.max_hold_s;
+	run_schedule(&snapshot, &output);
+	assert_int_equal(output.start_count, 2);
+	fl_sched_output_free(&output);
+
+	snapshot = make_holding_site();
+	snapshot.jobs[1] = plain_job(2, 3, 300, 1);
+	snapshot.jobs[1].gang = true;
+	run_schedule(&snapshot, &output);
+	assert_int_equal(output.start_count, 0);
+	assert_int_equal(output.holds[1], FL_SCHED_NOT_HELD);
+	fl_sched_output_free(&output);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -149,6 +224,9 @@
 		cmocka_unit_test(a_top_job_that_fits_nowhere_holds_no_job_back),
 		cmocka_unit_test(a_machine_on_which_the_top_job_cannot_fit_is_not_limited),
 		cmocka_unit_test(a_machine_on_which_no_task_of_a_gang_can_fit_is_not_limited),
+		cmocka_unit_test(a_job_held_for_long_gets_one_task),
+		cmocka_unit_test(an_array_of_which_a_task_runs_is_not_held),
+		cmocka_unit_test(a_gang_held_for_long_starts_as_a_whole),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_schedule_model.c
+++ b/tests/test_schedule_model.c
@@ -17,7 +17,7 @@
 #include "schedule_random.h"
 
 struct totals {
-	long starts, preemptions, top_jobs, machines_examined, machines_examined_max;
+	long starts, preemptions, top_jobs, held_jobs, machines_examined, machines_examined_max;
 };
 
 static void assert_reservation(const struct fl_reservation *reservation,
@@ -65,8 +65,11 @@
 	if (model->top_job >= 0)
 		assert_true(output.window_s == model->window_s ||
 		            fabs(output.window_s - model->window_s) < 1e-6);
-	for (int i = 0; i < snapshot->job_count; i++)
+	for (int i = 0; i < snapshot->job_count; i++) {
 		assert_int_equal(output.unplaced_tasks[i], model->unplaced_tasks[i]);
+		assert_int_equal(output.holds[i] == FL_SCHED_HELD, model->held[i]);
+		totals->held_jobs += model->held[i];
+	}
 	totals->starts += output.start_count;
 	totals->preemptions += output.preemption_count;
 	totals->top_jobs += output.top_job >= 0;
@@ -118,8 +121,9 @@
 		compare_with_model(model, snapshot, &small);
 	}
 
-	/* The snapshots must lead to starts, preemptions and top jobs. */
+	/* The snapshots must lead to starts, preemptions, top jobs and held jobs. */
 	assert_true(small.starts > 4000 && small.preemptions > 400 && small.top_jobs > 400);
+	assert_true(small.held_jobs > 100);
 
 	/* With hundreds of machines, decisions are equal and the work is bounded as above. */
 	for (int round = 0; round < 60; round++) {
