Tests: direct commands that were carried out and answered arrive again

Why: the simulation delivered a late command only once. On a service like this one, a task ran on two machines, and a cancelled one ran again, because a late copy of a start command reached the machine after it was told to forget the attempt.

The combination repeated_commands has short tasks that are done, moved for others or cancelled, and a leader, a machine, its links or all controllers are away for less than a second.

--- a/tests/fault_combinations_workers.c
+++ b/tests/fault_combinations_workers.c
@@ -297,7 +297,66 @@
 		inject_leader_down_within(70, 15, sim_random_between(0.2, 6));
 }
 
+/* Short tasks, some of which must be moved for more important ones that come later. */
+static void make_short_jobs(void)
+{
+	for (int i = 0; i < 24; i++) {
+		struct sim_job *job = sim_job_add_random(sim_random_between(5, 60));
+
+		job->spec.kind = FL_ARRAY;
+		job->spec.priority = i % 3 ? FL_BEST_EFFORT : FL_CRITICAL;
+		job->spec.machine_type_count = -1;
+		job->spec.has_zone = job->spec.same_zone = job->spec.spread_zones = false;
+		for (uint32_t k = 0; k < job->spec.task_count; k++)
+			job->duration_s[k] = i % 2 ? sim_random_between(1, 5) : 40;
+		sim_job_encode_request(job);
+	}
+}
+
+/*
+ * Direct commands that were executed and answered reach the worker once more, when the task is
+ * done, moved or cancelled and a controller or the machine was away for less than a second.
+ */
+static void repeated_commands(int variant)
+{
+	sim.cloud_capacity = 1;
+	make_short_jobs();
+	SIM_INJECT(FAULT_REPEATED_COMMANDS, .start_s = 3, .duration_s = 100, .magnitude = 0.7,
+	           .delay_max_s = variant % 2 ? 1.5 * sim.cancel_s : 8);
+	for (int i = 0; i < 8; i++)
+		inject_cancel_running(20 + 6 * i, 2, 0);
+	for (int i = 0; i < 6; i++) {
+		double start_s = sim_random_between(15, 80), away_s = sim_random_between(0.1, 1);
+
+		switch (variant % 4) {
+		case 0:
+			inject_leader_down(start_s, away_s);
+			break;
+		case 1:
+			SIM_INJECT(FAULT_MACHINE_HANG, .start_s = start_s, .duration_s = away_s,
+			           .magnitude = 0.6);
+			break;
+		case 2:
+			SIM_INJECT(i % 2 ? FAULT_OUTBOUND_PARTITION : FAULT_INBOUND_PARTITION,
+			           .start_s = start_s, .duration_s = away_s, .magnitude = 0.6);
+			break;
+		default:
+			SIM_INJECT(FAULT_NODE_DOWN, .start_s = start_s, .duration_s = away_s,
+			           .target = TARGET_ALL_NODES);
+			break;
+		}
+	}
+}
+
 static const struct combination combinations[] = {
+	/* Guards against an attempt that is forgotten while a copy of its start may still arrive.
+         */
+	{.name = "repeated_commands",
+         .seed_name = "repeated_commands",
+         .inject_faults = repeated_commands,
+         .first_variant = 0,
+         .variant_count = 4,
+         .protects = "reconciliation_reported.c: forget_is_safe"},
 	{.name = "held_start_commands",
          .seed_name = "held_start_commands",
          .inject_faults = held_start_commands,
--- a/tests/sim_faults.h
+++ b/tests/sim_faults.h
@@ -54,6 +54,8 @@
 	FAULT_SLOW_REQUESTS,
 	/* A share of rentals and deletions gets no reply and is carried out late. */
 	FAULT_DELAYED_CLOUD_REQUESTS,
+	/* A share of direct commands, executed and answered, reaches the worker once more. */
+	FAULT_REPEATED_COMMANDS,
 	SIM_FAULT_KINDS
 };
 
@@ -68,8 +70,9 @@
 	int target;                 /* resolved to a node, a zone or all nodes at the start */
 	double magnitude;           /* probability, share, factor, or s */
 	int count; /* number of jobs, or of machines; 0 machines: `magnitude` is their share */
-	double delay_max_s; /* FAULT_DELAYED_COMMANDS: longest delay; 0: 16 s */
-	double hang_s;      /* FAULT_CANCEL_RUNNING: duration for which the jobs' machines hang */
+	/* FAULT_DELAYED_COMMANDS, FAULT_REPEATED_COMMANDS: longest delay; 0: 16 s */
+	double delay_max_s;
+	double hang_s; /* FAULT_CANCEL_RUNNING: duration for which the jobs' machines hang */
 	/* FAULT_DELAYED_WRITES: the write is not delayed, and only its reply is lost. */
 	bool reply_lost_only;
 	/* FAULT_KV_SLOW: replies to watches are delayed, too, for each node by itself. */
--- a/tests/sim_workers.c
+++ b/tests/sim_workers.c
@@ -2,6 +2,7 @@
 #include "sim.h"
 
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "protocol/json.h"
@@ -10,9 +11,9 @@
 static const struct {
 	double min_heartbeat_gap_s;
 	double tick_s;
-	/* The bounds of the delay under FAULT_DELAYED_COMMANDS. */
-	double command_delay_min_s, command_delay_max_s;
-} tunables = {0.5, 0.05, 2.0, 16.0};
+	/* The bounds of the delay under FAULT_DELAYED_COMMANDS and FAULT_REPEATED_COMMANDS. */
+	double command_delay_min_s, command_copy_delay_min_s, command_delay_max_s;
+} tunables = {0.5, 0.05, 2.0, 0.01, 16.0};
 
 int sim_machine_index(const struct sim_machine *machine) { return (int)(machine - sim.machines); }
 
@@ -169,6 +170,51 @@
 	                                                 : tunables.command_delay_max_s);
 }
 
+/* A copy of a direct command that has been executed and answered. */
+struct command_copy {
+	struct sim_machine *machine;
+	int process; /* that sent the command */
+	char *body;
+	double delay_s;
+};
+
+static void deliver_command_copy(void *arg)
+{
+	struct command_copy *copy = arg;
+	struct fl_http_request request = {.body = copy->body, .body_len = strlen(copy->body)};
+	struct fl_http_response response = {0};
+
+	if (fl_sleep(copy->delay_s) == 0 && sim_machine_wait_until_resumed(copy->machine)) {
+		sim_machine_end_expired_lease(copy->machine);
+		serve_command(copy->machine, copy->process, &request, &response);
+	}
+	free(response.body);
+	free(copy->body);
+	free(copy);
+}
+
+/* Half of the copies arrive within a second, the others up to much later. */
+static void copy_command_if_faulty(struct sim_machine *machine, int process,
+                                   const struct fl_http_request *request)
+{
+	const struct sim_fault *fault = sim_fault_active(FAULT_REPEATED_COMMANDS, -1);
+	struct command_copy *copy;
+	double delay_max_s = 1;
+
+	if (!fault || !sim_chance(fault->magnitude))
+		return;
+	copy = malloc(sizeof(*copy));
+	sim_require(copy != NULL);
+	if (sim_chance(0.5))
+		delay_max_s =
+			fault->delay_max_s > 0 ? fault->delay_max_s : tunables.command_delay_max_s;
+	*copy = (struct command_copy){
+		machine, process, strdup(request->body),
+		sim_random_between(tunables.command_copy_delay_min_s, delay_max_s)};
+	sim_require(copy->body != NULL);
+	sim_spawn(0, deliver_command_copy, copy);
+}
+
 void sim_worker_serve(int process, int machine_index, const struct fl_http_request *request,
                       struct fl_http_response *response)
 {
@@ -184,6 +230,8 @@
 			respond_heartbeat(machine, 200, response);
 		else
 			serve_command(machine, process, request, response);
+		if (!is_status_request)
+			copy_command_if_faulty(machine, process, request);
 		if (delay_s == 0)
 			return;
 	}
