Logs: exited attempts that a worker has to keep, and heartbeats too large to forward

Change: at debug, the leader logs for each heartbeat how many exited attempts it may not have forgotten, with the worker's token and that of the last direct start; a follower logs a heartbeat that it does not forward, with its size.

--- a/src/coordination/follower/heartbeat_forwarding.c
+++ b/src/coordination/follower/heartbeat_forwarding.c
@@ -117,8 +117,10 @@
 	struct heartbeat_batch *batch;
 	int index;
 
-	if (len > FL_PEER_HEARTBEATS_BYTES_MAX)
+	if (len > FL_PEER_HEARTBEATS_BYTES_MAX) {
+		fl_debug("follower", "heartbeat too large to forward bytes=%zu", len);
 		return FL_FORWARD_TOO_LARGE;
+	}
 	batch = find_or_begin_batch(queue, len);
 	if (!batch)
 		return FL_FORWARD_OUT_OF_MEMORY;
--- a/src/coordination/workers/reconciliation.c
+++ b/src/coordination/workers/reconciliation.c
@@ -21,12 +21,25 @@
 	return true;
 }
 
+/* Logs how many exited attempts the worker has to keep in its heartbeats, and by which token. */
+static void log_retained_exits(const struct fl_heartbeat_context *context, int retained)
+{
+	if (retained > 0)
+		fl_debug("workers",
+		         "exits retained machine=%s reported=%d retained=%d fencing_token=%llu "
+		         "direct_start_token=%llu",
+		         context->machine->name, context->heartbeat->task_count, retained,
+		         (unsigned long long)context->heartbeat->fencing_token,
+		         (unsigned long long)context->machine->outbound.direct_start_token);
+}
+
 /* Applies a heartbeat. Reachability is checked first, against the unchanged cluster state. */
 static void apply_heartbeat(const struct fl_heartbeat_context *context)
 {
 	const struct fl_heartbeat *heartbeat = context->heartbeat;
 	struct fl_machine *machine = context->machine;
 	struct fl_node *node = context->node;
+	int retained_before = node->leadership.retained_exit_count;
 	enum fl_reply_kind kind;
 
 	switch (context->source) {
@@ -45,6 +58,7 @@
 		return;
 	for (int i = 0; i < heartbeat->task_count; i++)
 		fl_reconcile_reported_attempt(context, &heartbeat->tasks[i]);
+	log_retained_exits(context, node->leadership.retained_exit_count - retained_before);
 	kind = fl_reconcile_unreported_attempts(context);
 	if (context->source == FL_HEARTBEAT_FROM_WORKER)
 		fl_reachability_on_reply(machine, node->leader_lease.fencing_token, kind,
