Workers: an exited attempt is kept for copies of its own start, not of others'

The reports of its machines grew by each ended task, to more than any controller accepts.

Cause: a worker may forget an exited attempt only when no late copy of its direct start can run it again. The leader kept one token for each machine, that of the last direct start of any attempt. On a busy machine the next direct start carried the raised token before the worker had reported it, so that nothing was ever forgotten.

The same cause on a related path: an attempt that was stopped or cancelled before it was reported could not be proven absent from such a machine either, and each of its heartbeats asked for one more raise.

Evidence: the new line of the log, after the raise and to the end: "reported=910 retained=910 fencing_token=2 direct_start_token=2".

Change: the leader keeps the attempts of a machine that it started directly, each with its token (src/storage/direct_starts.h). Only these wait for a raise; a higher token of the worker, or a later incarnation, ends it. A raise is asked for only if the leader's token is not higher already.

--- a/src/coordination/workers/command.c
+++ b/src/coordination/workers/command.c
@@ -101,15 +101,25 @@
 	node->leadership.coroutines_running++;
 }
 
-/* Returns whether the machine has an attempt of the job that may have been started unnoticed. */
-static bool machine_has_unreported_task_of(const struct fl_machine *machine,
-                                           const struct fl_job *job)
+/*
+ * Returns whether the machine has an attempt of the job that no heartbeat has shown, and that a
+ * direct command with this fencing token or a higher one may still start.
+ */
+static bool machine_has_unreported_start_of(const struct fl_machine *machine,
+                                            const struct fl_job *job, uint64_t fencing_token)
 {
 	for (int i = 0; i < machine->assignment_count; i++) {
 		uint32_t index = machine->assignments[i].task_index;
+		const struct fl_direct_start *start;
+		const struct fl_task *task;
 
-		if (machine->assignments[i].job == job && fl_task_change_is_durable(job, index) &&
-		    fl_task_find(job, index)->last_observed_state == FL_OBSERVED_NONE)
+		if (machine->assignments[i].job != job)
+			continue;
+		task = fl_task_find(job, index);
+		start = fl_direct_starts_find(&machine->outbound.direct_starts, job->ref, index,
+		                              task->attempt);
+		if (start && start->fencing_token >= fencing_token &&
+		    task->last_observed_state == FL_OBSERVED_NONE)
 			return true;
 	}
 	return false;
@@ -138,8 +148,7 @@
 	for (int i = 0; i < node->cluster.machines.count; i++) {
 		const struct fl_machine *machine = node->cluster.machines.by_id[i];
 
-		if (machine->outbound.direct_start_token >= node->leader_lease.fencing_token &&
-		    machine_has_unreported_task_of(machine, job))
+		if (machine_has_unreported_start_of(machine, job, node->leader_lease.fencing_token))
 			return true;
 	}
 	return false;
--- a/src/coordination/workers/reconciliation.c
+++ b/src/coordination/workers/reconciliation.c
@@ -21,16 +21,16 @@
 	return true;
 }
 
-/* Logs how many exited attempts the worker has to keep in its heartbeats, and by which token. */
+/* Logs how many exited attempts the worker has to keep in its heartbeats. */
 static void log_retained_exits(const struct fl_heartbeat_context *context, int retained)
 {
 	if (retained > 0)
 		fl_debug("workers",
 		         "exits retained machine=%s reported=%d retained=%d fencing_token=%llu "
-		         "direct_start_token=%llu",
+		         "direct_starts=%d",
 		         context->machine->name, context->heartbeat->task_count, retained,
 		         (unsigned long long)context->heartbeat->fencing_token,
-		         (unsigned long long)context->machine->outbound.direct_start_token);
+		         context->machine->outbound.direct_starts.count);
 }
 
 /* Applies a heartbeat. Reachability is checked first, against the unchanged cluster state. */
--- a/src/coordination/workers/reconciliation_commands.c
+++ b/src/coordination/workers/reconciliation_commands.c
@@ -5,6 +5,7 @@
 #include "coordination/workers/reconciliation_internal.h"
 #include "storage/placement_rules.h"
 #include "transport/log.h"
+#include "transport/text.h"
 
 static const struct {
 	double checkpoint_margin_s;
@@ -97,11 +98,24 @@
 	                                         fl_attempt_grace_period_s(job, task)});
 }
 
+/*
+ * Records that an attempt is being started by a direct command. Returns false if too many of the
+ * machine's direct starts may still arrive: then the reply to its next heartbeat starts it.
+ */
+static bool record_direct_start(const struct fl_node *node, struct fl_machine *machine,
+                                const struct fl_job *job, uint32_t index)
+{
+	struct fl_direct_start start = {.index = index,
+	                                .attempt = fl_task_find(job, index)->attempt,
+	                                .fencing_token = node->leader_lease.fencing_token};
+
+	fl_copy_string(start.ref, sizeof(start.ref), job->ref);
+	return fl_direct_starts_add(&machine->outbound.direct_starts, &start);
+}
+
 bool fl_reconcile_collect_commands(struct fl_node *node, struct fl_machine *machine,
                                    struct fl_command_list *commands)
 {
-	bool has_start = false;
-
 	for (int i = 0; i < machine->assignment_count; i++) {
 		struct fl_job *job = machine->assignments[i].job;
 		uint32_t index = machine->assignments[i].task_index;
@@ -110,12 +124,10 @@
 		if (!fl_attempt_should_run(job, task)) {
 			add_stop(commands, machine, job, index);
 		} else if (task->last_observed_state == FL_OBSERVED_NONE &&
-		           fl_attempt_may_start(&node->cluster, job, index)) {
+		           fl_attempt_may_start(&node->cluster, job, index) &&
+		           record_direct_start(node, machine, job, index)) {
 			fl_reconcile_add_start(commands, machine, job, index);
-			has_start = true;
 		}
 	}
-	if (has_start)
-		machine->outbound.direct_start_token = node->leader_lease.fencing_token;
 	return commands->count > 0;
 }
--- a/src/coordination/workers/reconciliation_contact.c
+++ b/src/coordination/workers/reconciliation_contact.c
@@ -46,6 +46,17 @@
 	return true;
 }
 
+/* Drops the direct starts that the worker, as it shows itself in the heartbeat, rejects. */
+static void drop_rejected_starts(struct fl_machine *machine, const struct fl_heartbeat *heartbeat)
+{
+	struct fl_direct_starts *starts = &machine->outbound.direct_starts;
+
+	if (heartbeat->incarnation > machine->heartbeat.incarnation)
+		fl_direct_starts_clear(starts);
+	else
+		fl_direct_starts_drop_below(starts, heartbeat->fencing_token);
+}
+
 void fl_reconcile_record_contact(const struct fl_heartbeat_context *context)
 {
 	const struct fl_heartbeat *heartbeat = context->heartbeat;
@@ -54,6 +65,7 @@
 	bool came_up = !machine->lifecycle.up, interrupted;
 
 	describe_machine(node, machine, heartbeat);
+	drop_rejected_starts(machine, heartbeat);
 	machine->heartbeat.incarnation = heartbeat->incarnation;
 	machine->heartbeat.sequence = heartbeat->sequence;
 	machine->heartbeat.last_received_at = context->now;
--- a/src/coordination/workers/reconciliation_reported.c
+++ b/src/coordination/workers/reconciliation_reported.c
@@ -72,12 +72,14 @@
 /*
  * Returns whether the worker may forget an exited attempt, which is safe once no late start command
  * can start it again. Commands of an older leader cannot, since every applied heartbeat carries
- * this leadership's fencing token. Direct commands of this leader cannot once the worker has seen a
- * higher token.
+ * this leadership's fencing token. A start command in the reply to a heartbeat is executed before
+ * the next heartbeat or never. Only a direct command of this leader can, if it started this very
+ * attempt: those of other attempts do not matter.
  */
-static bool forget_is_safe(const struct fl_machine *machine, const struct fl_heartbeat *heartbeat)
+static bool forget_is_safe(const struct fl_machine *machine, const struct fl_task_status *status)
 {
-	return heartbeat->fencing_token > machine->outbound.direct_start_token;
+	return !fl_direct_starts_find(&machine->outbound.direct_starts, status->ref, status->index,
+	                              status->attempt);
 }
 
 /* Returns whether all changes by this exited attempt are in the record or write-ahead log. */
@@ -102,7 +104,7 @@
 		return;
 	}
 	complete_task_by_stale_attempt(context->node, job, status);
-	if (!forget_is_safe(machine, context->heartbeat))
+	if (!forget_is_safe(machine, status))
 		context->node->leadership.retained_exit_count++;
 	else if (exit_is_durable(job, status))
 		add_reply_command(context, FL_COMMAND_FORGET, status, 0);
--- a/src/coordination/workers/reconciliation_unreported.c
+++ b/src/coordination/workers/reconciliation_unreported.c
@@ -7,23 +7,21 @@
 /*
  * Returns whether the absence of an attempt from this heartbeat proves that it is not on the
  * machine. It does not in these cases:
- * - The heartbeat may have been sent before the worker executed an older leader's reply, or a
- *   direct start command may still arrive. Both are ruled out once the worker has seen a higher
- *   fencing token than theirs.
+ * - A direct start command of the attempt may still arrive, until the worker has seen a higher
+ *   fencing token. (What an older leader has sent is ruled out: every applied heartbeat carries
+ *   this leadership's token.)
  * - The heartbeat is the response to a direct command, and a reply has had the start command. The
  *   response may overtake that reply, which may be in flight until the worker's next heartbeat of
  *   its own.
  */
 static bool absence_is_conclusive(const struct fl_heartbeat_context *context,
-                                  const struct fl_task *task)
+                                  const struct fl_task *task,
+                                  const struct fl_direct_start *direct_start)
 {
-	const struct fl_machine *machine = context->machine;
-
 	if (task->start_sent && context->source == FL_HEARTBEAT_FROM_COMMAND)
 		return false;
 	/* A reply's start command is executed before the worker's next heartbeat or never. */
-	return machine->outbound.direct_start_token == 0 ||
-	       context->heartbeat->fencing_token > machine->outbound.direct_start_token;
+	return !direct_start;
 }
 
 static void release_task(const struct fl_heartbeat_context *context, struct fl_job *job,
@@ -35,19 +33,20 @@
 
 /*
  * Releases an attempt that is not to be started if its absence is proven. If a direct start command
- * may still arrive, requests a higher fencing token, which rules that out.
+ * may still arrive, requests a higher fencing token than that command's, which rules that out.
  */
 static void release_task_if_absence_proven(const struct fl_heartbeat_context *context,
                                            struct fl_job *job, uint32_t index,
                                            const struct fl_task *task)
 {
-	const struct fl_machine *machine = context->machine;
+	const struct fl_direct_start *direct_start = fl_direct_starts_find(
+		&context->machine->outbound.direct_starts, job->ref, index, task->attempt);
+	struct fl_leader_lease *lease = &context->node->leader_lease;
 
-	if (absence_is_conclusive(context, task))
+	if (absence_is_conclusive(context, task, direct_start))
 		release_task(context, job, index);
-	else if (machine->outbound.direct_start_token >= context->heartbeat->fencing_token &&
-	         machine->outbound.direct_start_token > 0)
-		context->node->leader_lease.token_raise_wanted = true;
+	else if (direct_start && direct_start->fencing_token >= lease->fencing_token)
+		lease->token_raise_wanted = true;
 }
 
 static enum fl_reply_kind reconcile_absent_attempt(const struct fl_heartbeat_context *context,
--- a/src/storage/machines.c
+++ b/src/storage/machines.c
@@ -166,6 +166,13 @@
 	return count > 0 ? (uint32_t)count : 0;
 }
 
+static void free_machine(struct fl_machine *machine)
+{
+	fl_direct_starts_clear(&machine->outbound.direct_starts);
+	free(machine->assignments);
+	free(machine);
+}
+
 struct fl_machine *fl_machine_drop(struct fl_machines *machines, struct fl_machine *machine)
 {
 	struct fl_machine *last = machines->by_id[--machines->count];
@@ -175,18 +182,15 @@
 		machines->by_id[machine->id] = last;
 		last->id = machine->id;
 	}
-	free(machine->assignments);
-	free(machine);
+	free_machine(machine);
 	return last != machine ? last : NULL;
 }
 
 void fl_machines_clear(struct fl_machines *machines)
 {
 	HASH_CLEAR(hh, machines->by_name);
-	for (int i = 0; i < machines->count; i++) {
-		free(machines->by_id[i]->assignments);
-		free(machines->by_id[i]);
-	}
+	for (int i = 0; i < machines->count; i++)
+		free_machine(machines->by_id[i]);
 	free(machines->by_id);
 	machines->by_id = NULL;
 	machines->count = machines->capacity = 0;
--- a/src/storage/machines.h
+++ b/src/storage/machines.h
@@ -9,6 +9,7 @@
 #include <uthash.h>
 
 #include "protocol/cloud.h"
+#include "storage/direct_starts.h"
 #include "storage/resources.h"
 #include "storage/symbol_table.h"
 
@@ -60,12 +61,12 @@
 	double last_reply_at;        /* time of the newest reply to a heartbeat; 0: none */
 	uint64_t last_reply_token;   /* fencing token in that reply */
 	double unacknowledged_since; /* time of the first unacknowledged reply */
-	uint64_t direct_start_token; /* highest fencing token of a direct start command; 0: none */
-	int unacknowledged_replies;  /* consecutive replies without effect in the next heartbeat */
-	bool last_reply_had_start;   /* the newest reply carried a start command */
-	bool last_reply_timed_out;   /* the worker seems to have timed out before the last reply */
-	bool command_in_flight;      /* a direct command is in flight */
-	bool command_pending;        /* a direct command has to be sent */
+	struct fl_direct_starts direct_starts; /* commands that may still arrive */
+	int unacknowledged_replies; /* consecutive replies without effect in the next heartbeat */
+	bool last_reply_had_start;  /* the newest reply carried a start command */
+	bool last_reply_timed_out;  /* the worker seems to have timed out before the last reply */
+	bool command_in_flight;     /* a direct command is in flight */
+	bool command_pending;       /* a direct command has to be sent */
 };
 
 /* Resources reserved for a waiting job; see struct fl_reservation in schedule.h. */
--- a/tests/fault_combinations_load.c
+++ b/tests/fault_combinations_load.c
@@ -100,6 +100,36 @@
 	SIM_INJECT(FAULT_CANCEL_RUNNING, .start_s = 60, .duration_s = 1, .count = 1);
 }
 
+/* An array of small tasks that run for seconds, of which a machine holds many. */
+static void add_small_tasks(double submit_s)
+{
+	struct sim_job *job = sim_job_add_random(submit_s);
+
+	make_array(job, 4, 4);
+	job->spec.task_count = SIM_JOB_TASKS;
+	job->spec.cpus = 0.25;
+	job->spec.gpus = 0;
+	job->spec.ram_gb = 0.9;
+	job->spec.image_gb = 0.5;
+	job->spec.has_zone = job->spec.same_zone = job->spec.spread_zones = false;
+	job->spec.machine_type_count = -1;
+	for (int i = 0; i < SIM_JOB_TASKS; i++)
+		job->duration_s[i] = sim_random_between(2, 5);
+	sim_job_encode_request(job);
+}
+
+/* Machines run small, short tasks one after the other; some leaders fail meanwhile. */
+static void short_tasks(int variant)
+{
+	sim.cloud_capacity = 1;
+	for (int i = 0; i < 240; i++)
+		add_small_tasks(sim_random_between(5, 40));
+	inject_cancel_running(50, 5, 0);
+	if (variant % 2)
+		inject_leader_down(60, 4);
+	SIM_INJECT(FAULT_LOST_REPLIES, .start_s = 20, .duration_s = 100, .magnitude = 0.05);
+}
+
 /* Jobs are cancelled, queried and submitted again as their last task completes. */
 static void cancel_at_completion(int variant)
 {
@@ -254,6 +284,13 @@
          .first_variant = 158,
          .variant_count = 1,
          .protects = "schedule_backfill.c: the time for which a window holds other jobs"},
+	/* Guards against heartbeats that grow with each task that ends (review case 5). */
+	{.name = "short_tasks",
+         .seed_name = "short_tasks",
+         .inject_faults = short_tasks,
+         .first_variant = 0,
+         .variant_count = 2,
+         .protects = "reconciliation_reported.c: forget_is_safe; direct_starts.c"},
 	{.name = "cancel_at_completion",
          .seed_name = "cancel_at_end",
          .inject_faults = cancel_at_completion,
--- a/tests/sim_heartbeats.c
+++ b/tests/sim_heartbeats.c
@@ -33,6 +33,15 @@
 	return left_s > 0 ? left_s : 0;
 }
 
+/* The protocol's limit of a request body holds for workers, too. */
+static void check_heartbeat_size(const struct sim_machine *machine,
+                                 const struct fl_heartbeat *heartbeat, const char *text)
+{
+	if (strlen(text) > BODY_BYTES_MAX)
+		sim_violation("heartbeat_size", "heartbeat too large machine=%s tasks=%d bytes=%zu",
+		              machine->name, heartbeat->task_count, strlen(text));
+}
+
 char *sim_heartbeat_encode(struct sim_machine *machine)
 {
 	struct sim_endpoint endpoint = {ENDPOINT_WORKER, sim_machine_index(machine)};
@@ -43,6 +52,7 @@
 	                                 .spot = machine->spot,
 	                                 .interruption_in_s = interruption_in_s(machine),
 	                                 .tasks = tasks};
+	char *text;
 
 	copy_text(heartbeat.host, sizeof(heartbeat.host), machine->name);
 	sim_endpoint_address(endpoint, heartbeat.endpoint);
@@ -51,7 +61,9 @@
 	for (int i = 0; i < machine->task_slots_used; i++)
 		if (machine->tasks[i].used)
 			tasks[heartbeat.task_count++] = machine->tasks[i].status;
-	return fl_heartbeat_encode(&heartbeat);
+	text = fl_heartbeat_encode(&heartbeat);
+	check_heartbeat_size(machine, &heartbeat, text);
+	return text;
 }
 
 /* ---- copies that arrive late ---- */
