Placement: a machine gets no more tasks than its heartbeat can list

What callers would see: a report grows with each task on the machine, exited ones included. Above 60 KiB it did not reach the leader, above 64 KiB it was refused by every controller, and the machine lost its lease and all that ran on it. Tasks small enough did that without any ended one: a machine of 24 CPUs holds 2,400 of 0.01 CPUs.

Cause: the number of tasks on a machine was bounded by its resources only. The reply had a command for each of them, without a bound either.

Change: the leader places a task only while those placed on the machine and the exited ones of its last heartbeat are fewer than FL_MACHINE_TASKS_MAX, 448: with the longest fields, and spaces between them, that many stay within 64 KiB. A command list has at most 512 commands, 256 of them forgets; the rest goes with the next reply.

--- a/src/coordination/scheduling/scheduling_decisions.c
+++ b/src/coordination/scheduling/scheduling_decisions.c
@@ -12,6 +12,9 @@
 	const struct fl_new_attempt attempt = {machine, node->leader_lease.fencing_token};
 	uint32_t index = fl_task_next_waiting(job, 0, now);
 
+	/* The cycle counts resources only; what it places beyond this limit waits for the next. */
+	if (fl_machine_free_task_slots(machine) <= 0)
+		return;
 	if (index >= job->task_count ||
 	    fl_task_place(&node->cluster, job, index, &attempt, now) != FL_PLACE_OK)
 		return;
--- a/src/coordination/scheduling/scheduling_snapshot.c
+++ b/src/coordination/scheduling/scheduling_snapshot.c
@@ -144,7 +144,7 @@
 		return false;
 	if (lifecycle->interruption_at != 0 || machine->health.quarantined_until > now)
 		return false;
-	if (machine->heartbeat.orphan_task_count != 0)
+	if (machine->heartbeat.orphan_task_count != 0 || fl_machine_free_task_slots(machine) <= 0)
 		return false;
 	unreachable_s = now - machine->outbound.last_reachable_at;
 	return unreachable_s < tunables.max_heartbeat_intervals * node->config->report_s &&
--- a/src/coordination/workers/reconciliation_commands.c
+++ b/src/coordination/workers/reconciliation_commands.c
@@ -121,6 +121,8 @@
 		uint32_t index = machine->assignments[i].task_index;
 		struct fl_task *task = fl_task_find(job, index);
 
+		if (!fl_command_list_has_room(commands, FL_COMMAND_START))
+			break;
 		if (!fl_attempt_should_run(job, task)) {
 			add_stop(commands, machine, job, index);
 		} else if (task->last_observed_state == FL_OBSERVED_NONE &&
--- a/src/coordination/workers/reconciliation_contact.c
+++ b/src/coordination/workers/reconciliation_contact.c
@@ -46,6 +46,15 @@
 	return true;
 }
 
+static int count_exited_tasks(const struct fl_heartbeat *heartbeat)
+{
+	int count = 0;
+
+	for (int i = 0; i < heartbeat->task_count; i++)
+		count += heartbeat->tasks[i].state == FL_TASK_STATE_EXITED;
+	return count;
+}
+
 /* Drops the direct starts that the worker, as it shows itself in the heartbeat, rejects. */
 static void drop_rejected_starts(struct fl_machine *machine, const struct fl_heartbeat *heartbeat)
 {
@@ -71,6 +80,8 @@
 	machine->heartbeat.last_received_at = context->now;
 	machine->lifecycle.up = true;
 	machine->heartbeat.orphan_task_count = 0;
+	if (!heartbeat->tasks_omitted)
+		machine->heartbeat.exited_task_count = count_exited_tasks(heartbeat);
 	interrupted = record_interruption_notice(machine, heartbeat, context->now);
 	if (came_up || interrupted)
 		fl_condition_broadcast(&node->leadership.work_available);
--- a/src/coordination/workers/reconciliation_unreported.c
+++ b/src/coordination/workers/reconciliation_unreported.c
@@ -80,6 +80,8 @@
 	}
 	if (!context->commands || !fl_attempt_may_start(&context->node->cluster, job, index))
 		return FL_REPLY_WITHOUT_START;
+	if (!fl_command_list_has_room(context->commands, FL_COMMAND_START))
+		return FL_REPLY_WITHOUT_START;
 	fl_reconcile_add_start(context->commands, context->machine, job, index);
 	task->start_sent = true;
 	return FL_REPLY_WITH_START;
--- a/src/protocol/workers.c
+++ b/src/protocol/workers.c
@@ -183,7 +183,14 @@
 	commands->root = cJSON_CreateObject();
 	cJSON_AddNumberToObject(commands->root, "Epoch", (double)fencing_token);
 	commands->list = cJSON_AddArrayToObject(commands->root, "Orders");
-	commands->count = 0;
+	commands->count = commands->forget_count = 0;
+}
+
+bool fl_command_list_has_room(const struct fl_command_list *commands, enum fl_command_kind kind)
+{
+	if (kind == FL_COMMAND_FORGET && commands->forget_count == FL_FORGET_COMMANDS_MAX)
+		return false;
+	return commands->count < FL_COMMANDS_MAX;
 }
 
 void fl_command_list_bind_incarnation(struct fl_command_list *commands, uint64_t incarnation)
@@ -193,8 +200,11 @@
 
 void fl_command_list_add(struct fl_command_list *commands, const struct fl_command *command)
 {
-	cJSON *item = cJSON_CreateObject();
+	cJSON *item;
 
+	if (!fl_command_list_has_room(commands, command->kind))
+		return;
+	item = cJSON_CreateObject();
 	cJSON_AddStringToObject(item, "Verb", command_names[command->kind]);
 	add_task_name(item, command->ref, command->index);
 	cJSON_AddNumberToObject(item, "Try", command->attempt);
@@ -202,6 +212,7 @@
 		cJSON_AddNumberToObject(item, "WindDownS", command->grace_period_s);
 	cJSON_AddItemToArray(commands->list, item);
 	commands->count++;
+	commands->forget_count += command->kind == FL_COMMAND_FORGET;
 }
 
 char *fl_command_list_take_body(struct fl_command_list *commands)
--- a/src/protocol/workers.h
+++ b/src/protocol/workers.h
@@ -9,6 +9,18 @@
 #include "protocol/users.h"
 #include "transport/http_client.h"
 
+/*
+ * Limit of the tasks of one machine, exited ones included until the worker forgets them: the leader
+ * places no more on it. A heartbeat lists all of them, and stays within the protocol's 64 KiB for a
+ * request body. The reply, with one command for each, stays within 64 KiB for a line.
+ */
+enum { FL_MACHINE_TASKS_MAX = 448 };
+/*
+ * Limits of the commands in one list, and of those that let the worker forget an attempt: the rest
+ * of the list is for stops and starts. What does not fit goes with the next reply.
+ */
+enum { FL_COMMANDS_MAX = 512, FL_FORGET_COMMANDS_MAX = 256 };
+
 /* The state of a task in a heartbeat. AWAITING_GANG: it waits for the other tasks of its gang. */
 enum fl_task_state {
 	FL_TASK_STATE_PULLING,
@@ -68,7 +80,7 @@
 /* A builder of the reply to a heartbeat, or of the body of a direct command. */
 struct fl_command_list {
 	cJSON *root, *list;
-	int count;
+	int count, forget_count;
 };
 
 /* Decodes a heartbeat. */
@@ -83,7 +95,9 @@
 
 /* Begins an empty list of commands with this fencing token. */
 void fl_command_list_init(struct fl_command_list *commands, uint64_t fencing_token);
-/* Adds a command, whose strings are copied. */
+/* Returns whether one more command of this kind stays within the limits of a list. */
+bool fl_command_list_has_room(const struct fl_command_list *commands, enum fl_command_kind kind);
+/* Adds a command, whose strings are copied; does nothing if the list has no room for it. */
 void fl_command_list_add(struct fl_command_list *commands, const struct fl_command *command);
 /* Makes the commands valid only for this incarnation of the worker; required for direct ones. */
 void fl_command_list_bind_incarnation(struct fl_command_list *commands, uint64_t incarnation);
--- a/src/storage/machines.h
+++ b/src/storage/machines.h
@@ -9,6 +9,7 @@
 #include <uthash.h>
 
 #include "protocol/cloud.h"
+#include "protocol/workers.h"
 #include "storage/direct_starts.h"
 #include "storage/resources.h"
 #include "storage/symbol_table.h"
@@ -53,6 +54,7 @@
 	double last_received_at;        /* when the heartbeat was received */
 	int last_entry_node_index;      /* index of the node that it was sent to; 0: not known */
 	int orphan_task_count;          /* tasks in the heartbeat that no record accounts for */
+	int exited_task_count;          /* exited tasks that the worker has not forgotten */
 };
 
 /* Replies and commands to a machine, and evidence of whether they reach it. */
@@ -132,6 +134,12 @@
 /* Reverts fl_machine_add_assignment. */
 void fl_machine_remove_assignment(struct fl_machine *machine, const struct fl_job *job,
                                   uint32_t index);
+/* Returns how many more tasks may be placed on the machine: see FL_MACHINE_TASKS_MAX. */
+static inline int fl_machine_free_task_slots(const struct fl_machine *machine)
+{
+	return FL_MACHINE_TASKS_MAX - machine->assignment_count -
+	       machine->heartbeat.exited_task_count;
+}
 /* Records that the machine has the image, in place of the least recently used one if full. */
 void fl_machine_record_image(struct fl_machine *machine, int image);
 /* Returns how many tasks that need `need` each fit into `available`. */
--- a/tests/fault_combinations_load.c
+++ b/tests/fault_combinations_load.c
@@ -100,16 +100,16 @@
 	SIM_INJECT(FAULT_CANCEL_RUNNING, .start_s = 60, .duration_s = 1, .count = 1);
 }
 
-/* An array of small tasks that run for seconds, of which a machine holds many. */
-static void add_small_tasks(double submit_s)
+/* An array of tasks that run for seconds, of which a machine holds many. */
+static void add_small_tasks(double submit_s, double cpus, double ram_gb)
 {
 	struct sim_job *job = sim_job_add_random(submit_s);
 
 	make_array(job, 4, 4);
 	job->spec.task_count = SIM_JOB_TASKS;
-	job->spec.cpus = 0.25;
+	job->spec.cpus = cpus;
 	job->spec.gpus = 0;
-	job->spec.ram_gb = 0.9;
+	job->spec.ram_gb = ram_gb;
 	job->spec.image_gb = 0.5;
 	job->spec.has_zone = job->spec.same_zone = job->spec.spread_zones = false;
 	job->spec.machine_type_count = -1;
@@ -118,12 +118,17 @@
 	sim_job_encode_request(job);
 }
 
-/* Machines run small, short tasks one after the other; some leaders fail meanwhile. */
+/*
+ * Machines run small, short tasks one after the other; some leaders fail meanwhile. In some
+ * variants a machine would have room for more tasks than a heartbeat can list.
+ */
 static void short_tasks(int variant)
 {
+	bool tiny = variant / 2 % 2;
+
 	sim.cloud_capacity = 1;
 	for (int i = 0; i < 240; i++)
-		add_small_tasks(sim_random_between(5, 40));
+		add_small_tasks(sim_random_between(5, 40), tiny ? 0.02 : 0.25, tiny ? 0.05 : 0.9);
 	inject_cancel_running(50, 5, 0);
 	if (variant % 2)
 		inject_leader_down(60, 4);
@@ -289,8 +294,9 @@
          .seed_name = "short_tasks",
          .inject_faults = short_tasks,
          .first_variant = 0,
-         .variant_count = 2,
-         .protects = "reconciliation_reported.c: forget_is_safe; direct_starts.c"},
+         .variant_count = 4,
+         .protects = "reconciliation_reported.c: forget_is_safe; direct_starts.c; machines.h: "
+                     "fl_machine_free_task_slots"},
 	{.name = "cancel_at_completion",
          .seed_name = "cancel_at_end",
          .inject_faults = cancel_at_completion,
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -12,6 +12,8 @@
 #include <string.h>
 
 #include "coordination/request_router.h"
+#include "coordination/scheduling/scheduling_decisions.h"
+#include "coordination/scheduling/scheduling_snapshot.h"
 #include "storage/job_records.h"
 #include "storage/job_updates.h"
 #include "transport/clock.h"
@@ -170,6 +172,21 @@
 	return fl_task_find(fixture->job, index);
 }
 
+int run_scheduling_cycle(struct node_fixture *fixture)
+{
+	struct fl_sched_output output = {0};
+	struct fl_snapshot snapshot;
+	int start_count;
+
+	assert_int_equal(fl_snapshot_take(&fixture->node, &snapshot, fl_now()), FL_SCHEDULE_OK);
+	assert_int_equal(fl_schedule(&snapshot.input, &output), FL_SCHEDULE_OK);
+	fl_scheduling_decisions_apply(&fixture->node, &snapshot, &output, fl_now());
+	start_count = output.start_count;
+	fl_sched_output_free(&output);
+	fl_snapshot_free(&snapshot);
+	return start_count;
+}
+
 struct fl_task_status running_task_status(uint32_t index, uint32_t attempt)
 {
 	struct fl_task_status status = {
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -58,6 +58,9 @@
 /* Places a task of the job on m-000001, as if its progress record were written. */
 struct fl_task *place_task(struct node_fixture *fixture, uint32_t index);
 
+/* Runs one scheduling cycle of the leader; returns the number of tasks that it decided to start. */
+int run_scheduling_cycle(struct node_fixture *fixture);
+
 /* Returns the status of a running attempt of one of the job's tasks, for a heartbeat. */
 struct fl_task_status running_task_status(uint32_t index, uint32_t attempt);
 
--- a/tests/test_backfill_hold.c
+++ b/tests/test_backfill_hold.c
@@ -10,8 +10,7 @@
 #include <cmocka.h>
 #include <string.h>
 
-#include "coordination/scheduling/scheduling_decisions.h"
-#include "coordination/scheduling/scheduling_snapshot.h"
+#include "coordination/scheduling/schedule.h"
 #include "node_fixture.h"
 #include "transport/clock.h"
 
@@ -43,22 +42,6 @@
 	                 FL_PLACE_OK);
 }
 
-/* Runs one scheduling cycle of the leader; returns the number of starts. */
-static int run_cycle(struct node_fixture *fixture)
-{
-	struct fl_sched_output output = {0};
-	struct fl_snapshot snapshot;
-	int start_count;
-
-	assert_int_equal(fl_snapshot_take(&fixture->node, &snapshot, fl_now()), FL_SCHEDULE_OK);
-	assert_int_equal(fl_schedule(&snapshot.input, &output), FL_SCHEDULE_OK);
-	fl_scheduling_decisions_apply(&fixture->node, &snapshot, &output, fl_now());
-	start_count = output.start_count;
-	fl_sched_output_free(&output);
-	fl_snapshot_free(&snapshot);
-	return start_count;
-}
-
 /* Adds a machine of 8 CPUs, of which a service uses 5. */
 static void add_machine_with_service(struct node_fixture *fixture)
 {
@@ -83,7 +66,7 @@
 	top->placement.backfill_window_until = fl_now() - 1;
 	lower = add_job(fixture, "run-000004", 2, 3, 300);
 
-	assert_int_equal(run_cycle(fixture), 1);
+	assert_int_equal(run_scheduling_cycle(fixture), 1);
 	assert_int_equal(lower->counts.placed, 1);
 	assert_true(top->placement.backfill_window_until <= 0);
 }
@@ -106,12 +89,12 @@
 	top->placement.backfill_window_until = fl_now() - 1;
 	lower = add_job(fixture, "run-000005", 2, 1, 300);
 
-	assert_int_equal(run_cycle(fixture), 0);
+	assert_int_equal(run_scheduling_cycle(fixture), 0);
 	assert_true(lower->placement.held_since > 0);
 	lower->placement.held_since -= max_hold_s / 2;
-	assert_int_equal(run_cycle(fixture), 0);
+	assert_int_equal(run_scheduling_cycle(fixture), 0);
 	lower->placement.held_since -= max_hold_s / 2;
-	assert_int_equal(run_cycle(fixture), 1);
+	assert_int_equal(run_scheduling_cycle(fixture), 1);
 	assert_int_equal(lower->counts.placed, 1);
 	assert_true(lower->placement.held_since <= 0);
 }
--- a/tests/test_contract_workers.c
+++ b/tests/test_contract_workers.c
@@ -101,6 +101,70 @@
 	                     "{\"Epoch\":912345678901234,\"Orders\":[]}");
 }
 
+enum {
+	BODY_BYTES_MAX = 64 * 1024, /* the protocol's limits of a request body, and of a line */
+	LINE_BYTES_MAX = 64 * 1024,
+	SPACES_PER_TASK = 10 /* that a worker may put between the fields of a task */
+};
+
+/* The longest that the fields can be. */
+static const struct fl_task_status longest_status = {.ref = "run-0123456789012345678",
+                                                     .index = FL_TASKS_MAX - 1,
+                                                     .attempt = UINT32_MAX,
+                                                     .state = FL_TASK_STATE_EXITED,
+                                                     .exit_reason = FL_EXIT_GANG_PEERS_LOST,
+                                                     .checkpoint_saved = true};
+
+/* Guards against heartbeats that no controller accepts: the leader places no more on a machine. */
+static void a_heartbeat_with_the_most_tasks_is_within_the_limit_of_a_body(void **state)
+{
+	struct fl_task_status tasks[FL_MACHINE_TASKS_MAX];
+	struct fl_heartbeat heartbeat = {.incarnation = UINT32_MAX,
+	                                 .sequence = UINT32_MAX,
+	                                 .fencing_token = UINT32_MAX,
+	                                 .interruption_in_s = 12345.678901,
+	                                 .tasks = tasks,
+	                                 .task_count = FL_MACHINE_TASKS_MAX};
+	char *text;
+
+	(void)state;
+	for (int i = 0; i < FL_MACHINE_TASKS_MAX; i++)
+		tasks[i] = longest_status;
+	memset(heartbeat.host, 'm', sizeof(heartbeat.host) - 1);
+	memset(heartbeat.endpoint, 'e', sizeof(heartbeat.endpoint) - 1);
+	memset(heartbeat.type, 't', sizeof(heartbeat.type) - 1);
+	memset(heartbeat.zone, 'z', sizeof(heartbeat.zone) - 1);
+	text = fl_heartbeat_encode(&heartbeat);
+	assert_true(strlen(text) + SPACES_PER_TASK * FL_MACHINE_TASKS_MAX <= BODY_BYTES_MAX);
+	free(text);
+}
+
+/* However many commands are due, the reply stays within a line; stops keep room beside forgets. */
+static void a_command_list_is_within_the_limit_of_a_line(void **state)
+{
+	const struct fl_task_status *status = &longest_status;
+	struct fl_command_list commands;
+	char *text;
+
+	(void)state;
+	fl_command_list_init(&commands, UINT32_MAX);
+	for (int i = 0; i < 2 * FL_COMMANDS_MAX; i++)
+		fl_command_list_add(&commands,
+		                    &(struct fl_command){FL_COMMAND_FORGET, status->ref,
+		                                         status->index, status->attempt, 0});
+	assert_int_equal(commands.count, FL_FORGET_COMMANDS_MAX);
+	assert_false(fl_command_list_has_room(&commands, FL_COMMAND_FORGET));
+	for (int i = 0; i < 2 * FL_COMMANDS_MAX; i++)
+		fl_command_list_add(&commands, &(struct fl_command){FL_COMMAND_STOP, status->ref,
+		                                                    status->index, status->attempt,
+		                                                    12345.678901});
+	assert_int_equal(commands.count, FL_COMMANDS_MAX);
+	assert_false(fl_command_list_has_room(&commands, FL_COMMAND_START));
+	text = fl_command_list_take_body(&commands);
+	assert_true(strlen(text) <= LINE_BYTES_MAX);
+	free(text);
+}
+
 static void a_redirect_names_the_node_to_send_heartbeats_to(void **state)
 {
 	(void)state;
@@ -167,6 +231,8 @@
 		cmocka_unit_test(the_largest_counters_of_a_heartbeat_are_read_exactly),
 		cmocka_unit_test(a_heartbeat_without_interruption_notice_has_none_after_decoding),
 		cmocka_unit_test(a_heartbeat_response_has_the_fencing_token_and_each_verb),
+		cmocka_unit_test(a_heartbeat_with_the_most_tasks_is_within_the_limit_of_a_body),
+		cmocka_unit_test(a_command_list_is_within_the_limit_of_a_line),
 		cmocka_unit_test(a_redirect_names_the_node_to_send_heartbeats_to),
 		cmocka_unit_test(a_direct_command_is_posted_and_its_response_is_a_heartbeat),
 	};
