Heartbeats: one that is larger than 64 KiB reaches the leader

Cause: all requests had one limit for their bodies, and a message to the leader had no room for a heartbeat as large as itself.

Change: heartbeats may have up to 1 MiB (fl_http_server_limit_body, for one path of each server); a heartbeat that is larger than a message with many goes in one of its own. All other requests keep the protocol's limit.

--- a/src/coordination/follower/forwarding.h
+++ b/src/coordination/follower/forwarding.h
@@ -21,7 +21,6 @@
 	FL_FORWARD_REJECTED,        /* the reply does not have the expected status */
 	FL_FORWARD_CONNECTION_LOST, /* not connected; or broken, and the request may be executed */
 	FL_FORWARD_OVERLOADED,      /* not sent: too many requests are in flight */
-	FL_FORWARD_TOO_LARGE,       /* not sent: larger than a request may be */
 	FL_FORWARD_TIMED_OUT,       /* no reply in time; the request may still be executed */
 	FL_FORWARD_CANCELLED,       /* this coroutine is cancelled; the request may be executed */
 	FL_FORWARD_MALFORMED_REPLY, /* the peer uses another protocol */
--- a/src/coordination/follower/heartbeat_forwarding.c
+++ b/src/coordination/follower/heartbeat_forwarding.c
@@ -76,7 +76,10 @@
 	free(batch);
 }
 
-/* Returns the open batch if it has room for the heartbeat, else a new one; NULL: no memory. */
+/*
+ * Returns the open batch if it has room for the heartbeat, else a new one, which also a heartbeat
+ * above the limit of a batch begins; NULL: no memory.
+ */
 static struct heartbeat_batch *find_or_begin_batch(struct fl_batch_queue *queue, size_t len)
 {
 	struct heartbeat_batch *batch = (struct heartbeat_batch *)queue->open_batch;
@@ -117,10 +120,6 @@
 	struct heartbeat_batch *batch;
 	int index;
 
-	if (len > FL_PEER_HEARTBEATS_BYTES_MAX) {
-		fl_debug("follower", "heartbeat too large to forward bytes=%zu", len);
-		return FL_FORWARD_TOO_LARGE;
-	}
 	batch = find_or_begin_batch(queue, len);
 	if (!batch)
 		return FL_FORWARD_OUT_OF_MEMORY;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -11,6 +11,7 @@
 #include "coordination/job_watch.h"
 #include "coordination/machine_types.h"
 #include "coordination/request_router.h"
+#include "protocol/peer_heartbeats.h"
 #include "transport/clock.h"
 #include "transport/log.h"
 #include "transport/text.h"
@@ -128,11 +129,20 @@
 	double idle_timeout_s = fmax(tunables.idle_timeout_min_s,
 	                             tunables.idle_timeout_intervals * config->report_s);
 
-	if (!fl_http_serve(config->bind, public_connections, idle_timeout_s,
-	                   fl_route_public_request, node) ||
-	    !fl_http_serve(config->cluster_listen, config->max_connections - public_connections,
-	                   idle_timeout_s, fl_route_peer_request, node))
+	struct fl_http_server *public_server, *peer_server;
+
+	public_server = fl_http_serve(config->bind, public_connections, idle_timeout_s,
+	                              fl_route_public_request, node);
+	if (!public_server)
+		return FL_NODE_CANNOT_LISTEN;
+	fl_http_server_limit_body(public_server, FL_PATH_WORKER_HEARTBEAT, FL_HEARTBEAT_BYTES_MAX);
+	peer_server =
+		fl_http_serve(config->cluster_listen, config->max_connections - public_connections,
+	                      idle_timeout_s, fl_route_peer_request, node);
+	if (!peer_server)
 		return FL_NODE_CANNOT_LISTEN;
+	fl_http_server_limit_body(peer_server, FL_PATH_HEARTBEATS,
+	                          FL_PEER_HEARTBEATS_BODY_BYTES_MAX);
 	return FL_NODE_STARTED;
 }
 
--- a/src/protocol/peer_heartbeats.h
+++ b/src/protocol/peer_heartbeats.h
@@ -11,8 +11,13 @@
 /* The path at another controller for these messages. */
 #define FL_PATH_HEARTBEATS "/reports"
 
-/* Limits of one message: the number of heartbeats, and their total size in bytes. */
+/*
+ * Limits of one message: the number of heartbeats, and their total size in bytes if there are
+ * several. A larger heartbeat has a message of its own.
+ */
 enum { FL_PEER_HEARTBEATS_MAX = 64, FL_PEER_HEARTBEATS_BYTES_MAX = 60 * 1024 };
+/* Limit of the body of a message: the largest heartbeat, and the other fields. */
+enum { FL_PEER_HEARTBEATS_BODY_BYTES_MAX = FL_HEARTBEAT_BYTES_MAX + 1024 };
 
 /* A message with forwarded heartbeats. */
 struct fl_peer_heartbeats {
--- a/src/protocol/users.c
+++ b/src/protocol/users.c
@@ -1,4 +1,5 @@
 #include "protocol/users.h"
+#include "protocol/workers.h"
 
 #include <ctype.h>
 #include <string.h>
@@ -11,7 +12,7 @@
 
 /* The paths of the API; the path of a job is the jobs path, '/' and the job id. */
 static const char jobs_path[] = "/v2/runs";
-static const char heartbeat_path[] = "/hello";
+static const char heartbeat_path[] = FL_PATH_WORKER_HEARTBEAT;
 static const char ready_path[] = "/ready";
 static const char cancel_suffix[] = "/cancel";
 
--- a/src/protocol/workers.h
+++ b/src/protocol/workers.h
@@ -21,6 +21,14 @@
  */
 enum { FL_COMMANDS_MAX = 512, FL_FORGET_COMMANDS_MAX = 256 };
 
+/* The path at a controller for heartbeats. */
+#define FL_PATH_WORKER_HEARTBEAT "/hello"
+/*
+ * Limit of a heartbeat's body. A worker should not send more than 64 KiB, but one that does must
+ * lose neither its tasks nor its lease.
+ */
+enum { FL_HEARTBEAT_BYTES_MAX = 1024 * 1024 };
+
 /* The state of a task in a heartbeat. AWAITING_GANG: it waits for the other tasks of its gang. */
 enum fl_task_state {
 	FL_TASK_STATE_PULLING,
--- a/src/transport/http.c
+++ b/src/transport/http.c
@@ -83,10 +83,21 @@
 	return PARSER_CONTINUE;
 }
 
+/* Puts the limit of the request's path in force, if it has one of its own. */
+static void apply_body_limit(struct fl_http_message *message)
+{
+	const struct fl_http_body_limit *limit = message->body_limit;
+
+	if (limit && limit->path && message->url.data &&
+	    strcmp(message->url.data, limit->path) == 0)
+		message->max_body_bytes = limit->max_bytes;
+}
+
 static int on_headers(http_parser *parser)
 {
 	struct fl_http_message *message = parser->data;
 
+	apply_body_limit(message);
 	message->expected_body_bytes = parser->content_length;
 	if (parser->content_length == ULLONG_MAX ||
 	    parser->content_length <= message->max_body_bytes)
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -15,11 +15,18 @@
 
 struct fl_http_endpoint;
 
+/* The limit of the body of requests to one path, in place of that of other requests. */
+struct fl_http_body_limit {
+	const char *path; /* borrowed; NULL: no path has a limit of its own */
+	size_t max_bytes;
+};
+
 /* A message that is being read. */
 struct fl_http_message {
 	http_parser parser;
 	struct fl_buffer url, body;
 	size_t max_body_bytes;
+	const struct fl_http_body_limit *body_limit; /* of one path; NULL: none */
 	/* Limit of a body that is read to its end although it is too large; 0: none is. */
 	size_t max_discarded_bytes;
 	double remainder_timeout_s; /* limit from the first byte to the last; 0: no such limit */
--- a/src/transport/http_connection.c
+++ b/src/transport/http_connection.c
@@ -18,7 +18,7 @@
 	double log_interval_s;
 } tunables = {
 	.write_timeout_s = 5.0,              /* users wait 2 to 5 s for a response, and no longer */
-	.max_body_bytes = (size_t)64 * 1024, /* the protocol's limit */
+	.max_body_bytes = (size_t)64 * 1024, /* the protocol's limit; see body_limit */
 	.max_discarded_bytes = (size_t)1024 * 1024,
 	/* From first to last byte; users wait 5 s, counted from before the first byte arrives. */
 	.remainder_timeout_s = 6.0,
@@ -104,7 +104,7 @@
 		                                    "not HTTP"};
 	case -EFBIG:
 		return (struct read_error_response){
-			413, "{\"error\":\"body over 64 KiB, and not read to its end\"}",
+			413, "{\"error\":\"body too large, and not read to its end\"}",
 			"body too large"};
 	case -ENAMETOOLONG:
 		return (struct read_error_response){431, "{\"error\":\"path or headers too long\"}",
@@ -224,6 +224,7 @@
 	int rc;
 
 	fl_http_message_init(&message, HTTP_REQUEST, tunables.max_body_bytes);
+	message.body_limit = &endpoint->body_limit;
 	message.max_discarded_bytes = tunables.max_discarded_bytes;
 	message.remainder_timeout_s = tunables.remainder_timeout_s;
 	message.endpoint = endpoint;
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -35,6 +35,7 @@
 	int connection_count, connection_limit;
 	/* Without this timeout, a partitioned peer held a socket indefinitely. */
 	double idle_timeout_s;
+	struct fl_http_body_limit body_limit; /* of one path; the others have the protocol's */
 	fl_http_handler handler;
 	void *context;
 };
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -162,6 +162,11 @@
 	return server;
 }
 
+void fl_http_server_limit_body(struct fl_http_server *server, const char *path, size_t max_bytes)
+{
+	server->endpoint.body_limit = (struct fl_http_body_limit){path, max_bytes};
+}
+
 int fl_http_server_port(const struct fl_http_server *server)
 {
 	struct sockaddr_in address = {0};
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -17,6 +17,8 @@
  */
 struct fl_http_server *fl_http_serve(const char *addr, int max_connections, double idle_timeout_s,
                                      fl_http_handler handler, void *context);
+/* Sets the limit of the body of requests to one path; `path` is borrowed. */
+void fl_http_server_limit_body(struct fl_http_server *server, const char *path, size_t max_bytes);
 /* Returns the port that the server listens on, or a negative errno. */
 int fl_http_server_port(const struct fl_http_server *server);
 
--- a/tests/http_fixture.c
+++ b/tests/http_fixture.c
@@ -35,6 +35,7 @@
 	server = fl_http_serve("127.0.0.1:0", run->max_connections, IDLE_S, run->handler,
 	                       run->context);
 	assert_non_null(server);
+	fl_http_server_limit_body(server, run->body_limit.path, run->body_limit.max_bytes);
 	snprintf(client.address, sizeof(client.address), "127.0.0.1:%d",
 	         fl_http_server_port(server));
 	run_coroutine(run_client, &client);
--- a/tests/http_fixture.h
+++ b/tests/http_fixture.h
@@ -5,7 +5,8 @@
 #include "transport/http_server.h"
 
 struct http_run {
-	int max_connections; /* of the server */
+	int max_connections;                  /* of the server */
+	struct fl_http_body_limit body_limit; /* of one path; all zero: none */
 	fl_http_handler handler;
 	/* The client's function; `address` is the server's. */
 	void (*client)(const char *address, void *context);
--- a/tests/sim_nodes.c
+++ b/tests/sim_nodes.c
@@ -109,6 +109,12 @@
 	return (struct fl_http_server *)&nodes;
 }
 
+/* Bodies are passed whole, without limit. */
+void fl_http_server_limit_body(struct fl_http_server *server, const char *path, size_t max_bytes)
+{
+	(void)server, (void)path, (void)max_bytes;
+}
+
 void sim_node_serve(struct sim_endpoint to, const struct fl_http_request *request,
                     struct fl_http_response *response)
 {
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -21,7 +21,8 @@
 
 enum {
 	CONNECTIONS = 16,
-	OVERSIZED_BODY_BYTES = 69999, /* above the maximum of a request */
+	OVERSIZED_BODY_BYTES = 69999,  /* above the maximum of a request */
+	HEARTBEAT_BODY_BYTES = 200000, /* the maximum of one path */
 	LARGE_BODY_BYTES = 60000,
 	BODY_MEMORY_LIMIT_BYTES = 100000, /* enough for one large body but not for two */
 	FULL_SERVER_CONNECTIONS = 32,
@@ -114,6 +115,38 @@
 	assert_int_equal(exchange.served_count, 5);
 }
 
+/* One path has a limit of its own, above that of the other paths. */
+static void send_bodies_to_large_path(const char *address, void *context)
+{
+	struct fl_http_client client;
+	char *large = malloc(HEARTBEAT_BODY_BYTES + 2);
+
+	(void)context;
+	assert_int_equal(fl_http_client_init(&client, address, 2), 0);
+	memset(large, 'x', HEARTBEAT_BODY_BYTES + 1);
+	large[HEARTBEAT_BODY_BYTES] = 0;
+	assert_response(&client, "/hello", large, 200);
+	assert_response(&client, "/hello2", large, 400);
+	large[HEARTBEAT_BODY_BYTES] = 'x';
+	large[HEARTBEAT_BODY_BYTES + 1] = 0;
+	assert_response(&client, "/hello", large, 400);
+	free(large);
+	fl_http_client_close(&client);
+}
+
+static void one_path_may_have_larger_bodies(void **state)
+{
+	struct exchange exchange = {0};
+
+	(void)state;
+	run_http_client(&(struct http_run){.max_connections = CONNECTIONS,
+	                                   .body_limit = {"/hello", HEARTBEAT_BODY_BYTES},
+	                                   .handler = echo_body,
+	                                   .client = send_bodies_to_large_path,
+	                                   .context = &exchange});
+	assert_int_equal(exchange.served_count, 1);
+}
+
 static int connect_to(const char *address)
 {
 	struct sockaddr_in parsed;
@@ -404,6 +437,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(calls_reuse_connections_and_have_size_and_time_limits),
+		cmocka_unit_test(one_path_may_have_larger_bodies),
 		cmocka_unit_test(
 			a_body_shorter_than_its_content_length_gets_a_response_that_users_retry),
 		cmocka_unit_test(a_request_sent_over_more_than_four_seconds_is_served),
