Tests: a heartbeat of 175 KB at three real controllers; one way to add a job to a node

Why: nothing checked that the servers of the program have the larger limit for heartbeats; and three tests built the same job by hand, two of them with the time of submission in the place of the revision.

Change: test_service sends a heartbeat with 2,500 exited tasks to each controller. add_fixture_job of node_fixture adds a job submitted now; the two tests of machines that are limited by the top job share their set-up.

--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "copy_text.h"
 #include "coordination/request_router.h"
 #include "coordination/scheduling/scheduling_decisions.h"
 #include "coordination/scheduling/scheduling_snapshot.h"
@@ -172,6 +173,20 @@
 	return fl_task_find(fixture->job, index);
 }
 
+struct fl_job *add_fixture_job(struct node_fixture *fixture, const char *ref,
+                               struct fl_job_spec spec)
+{
+	spec.priority = FL_STANDARD;
+	spec.machine_type_count = -1;
+	spec.due_s = -1;
+	copy_text(spec.ref, sizeof(spec.ref), ref);
+	copy_text(spec.team, sizeof(spec.team), "team");
+	copy_text(spec.job_class, sizeof(spec.job_class), "c");
+	copy_text(spec.image, sizeof(spec.image), "i");
+	fixture->job->cancelled = true;
+	return fl_job_add(&fixture->node.cluster, &spec, fl_wall_time(), 1);
+}
+
 int run_scheduling_cycle(struct node_fixture *fixture)
 {
 	struct fl_sched_output output = {0};
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -58,6 +58,13 @@
 /* Places a task of the job on m-000001, as if its progress record were written. */
 struct fl_task *place_task(struct node_fixture *fixture, uint32_t index);
 
+/*
+ * Adds a job that was submitted now, in addition to the fixture's own, which is not scheduled any
+ * more. `spec` has its kind, size and estimate; the other fields are set here.
+ */
+struct fl_job *add_fixture_job(struct node_fixture *fixture, const char *ref,
+                               struct fl_job_spec spec);
+
 /* Runs one scheduling cycle of the leader; returns the number of tasks that it decided to start. */
 int run_scheduling_cycle(struct node_fixture *fixture);
 
--- a/tests/test_backfill_hold.c
+++ b/tests/test_backfill_hold.c
@@ -8,7 +8,6 @@
 #include <stdint.h>
 
 #include <cmocka.h>
-#include <string.h>
 
 #include "coordination/scheduling/schedule.h"
 #include "node_fixture.h"
@@ -18,20 +17,12 @@
 static struct fl_job *add_job(struct node_fixture *fixture, const char *ref, uint32_t task_count,
                               double cpus, double estimate_s)
 {
-	struct fl_job_spec spec = {.task_count = task_count,
-	                           .kind = estimate_s > 0 ? FL_ARRAY : FL_SERVICE,
-	                           .cpus = cpus,
-	                           .ram_gb = 1,
-	                           .priority = FL_STANDARD,
-	                           .expected_s = estimate_s,
-	                           .machine_type_count = -1,
-	                           .due_s = -1};
-
-	strcpy(spec.ref, ref);
-	strcpy(spec.team, "team");
-	strcpy(spec.job_class, "c");
-	strcpy(spec.image, "i");
-	return fl_job_add(&fixture->node.cluster, &spec, 0, fl_wall_time());
+	return add_fixture_job(fixture, ref,
+	                       (struct fl_job_spec){.task_count = task_count,
+	                                            .kind = estimate_s > 0 ? FL_ARRAY : FL_SERVICE,
+	                                            .cpus = cpus,
+	                                            .ram_gb = 1,
+	                                            .expected_s = estimate_s});
 }
 
 static void place_first_task(struct node_fixture *fixture, struct fl_job *job)
@@ -46,7 +37,6 @@
 static void add_machine_with_service(struct node_fixture *fixture)
 {
 	deliver_idle_heartbeat(fixture, 1, 1);
-	fixture->job->cancelled = true; /* the fixture's own job is not scheduled */
 	place_first_task(fixture, add_job(fixture, "run-000002", 1, 5, 0));
 }
 
--- a/tests/test_contract_workers.c
+++ b/tests/test_contract_workers.c
@@ -104,7 +104,8 @@
 enum {
 	BODY_BYTES_MAX = 64 * 1024, /* the protocol's limits of a request body, and of a line */
 	LINE_BYTES_MAX = 64 * 1024,
-	SPACES_PER_TASK = 10 /* that a worker may put between the fields of a task */
+	/* Spaces that a worker may put between the fields of its tasks, ten for each. */
+	SPACES_MAX = 10 * FL_MACHINE_TASKS_MAX
 };
 
 /* The longest that the fields can be. */
@@ -135,7 +136,7 @@
 	memset(heartbeat.type, 't', sizeof(heartbeat.type) - 1);
 	memset(heartbeat.zone, 'z', sizeof(heartbeat.zone) - 1);
 	text = fl_heartbeat_encode(&heartbeat);
-	assert_true(strlen(text) + SPACES_PER_TASK * FL_MACHINE_TASKS_MAX <= BODY_BYTES_MAX);
+	assert_true(strlen(text) + SPACES_MAX <= BODY_BYTES_MAX);
 	free(text);
 }
 
--- a/tests/test_direct_starts.c
+++ b/tests/test_direct_starts.c
@@ -223,18 +223,9 @@
 /* Adds a job of many small tasks, and places all of them. */
 static void place_many_tasks(struct node_fixture *fixture)
 {
-	struct fl_job_spec spec = {.task_count = MANY_TASKS,
-	                           .cpus = 0.01,
-	                           .ram_gb = 0.01,
-	                           .priority = FL_STANDARD,
-	                           .machine_type_count = -1,
-	                           .due_s = -1};
-
-	strcpy(spec.ref, "run-000002");
-	strcpy(spec.team, "team");
-	strcpy(spec.job_class, "c");
-	strcpy(spec.image, "i");
-	fixture->job = fl_job_add(&fixture->node.cluster, &spec, 0, 1);
+	fixture->job = add_fixture_job(
+		fixture, "run-000002",
+		(struct fl_job_spec){.task_count = MANY_TASKS, .cpus = 0.01, .ram_gb = 0.01});
 	for (uint32_t i = 0; i < MANY_TASKS; i++) {
 		const struct fl_new_attempt attempt = {only_machine(fixture), FENCING_TOKEN};
 		struct fl_task_block *block;
--- a/tests/test_heartbeat_forwarding.c
+++ b/tests/test_heartbeat_forwarding.c
@@ -259,7 +259,7 @@
  */
 static void a_heartbeat_above_the_limit_of_a_message_is_forwarded(void **state)
 {
-	const size_t line_bytes_max = 64 * 1024;
+	const size_t line_bytes_max = 65536;
 	struct worker *workers;
 
 	(void)state;
--- a/tests/test_machine_task_limit.c
+++ b/tests/test_machine_task_limit.c
@@ -12,27 +12,16 @@
 #include <string.h>
 
 #include "node_fixture.h"
-#include "transport/clock.h"
 
 enum { MANY_TASKS = 2 * FL_MACHINE_TASKS_MAX };
 
 /* Adds a job of which a machine could hold all tasks by its resources. */
 static struct fl_job *add_job_of_small_tasks(struct node_fixture *fixture)
 {
-	struct fl_job_spec spec = {.task_count = MANY_TASKS,
-	                           .cpus = 0.001,
-	                           .ram_gb = 0.001,
-	                           .priority = FL_STANDARD,
-	                           .expected_s = 4,
-	                           .machine_type_count = -1,
-	                           .due_s = -1};
-
-	strcpy(spec.ref, "run-000002");
-	strcpy(spec.team, "team");
-	strcpy(spec.job_class, "c");
-	strcpy(spec.image, "i");
-	fixture->job->cancelled = true; /* the fixture's own job is not scheduled */
-	return fl_job_add(&fixture->node.cluster, &spec, 0, fl_wall_time());
+	return add_fixture_job(
+		fixture, "run-000002",
+		(struct fl_job_spec){
+			.task_count = MANY_TASKS, .cpus = 0.001, .ram_gb = 0.001, .expected_s = 4});
 }
 
 static void run_cycles(struct node_fixture *fixture)
--- a/tests/test_schedule_backfill.c
+++ b/tests/test_schedule_backfill.c
@@ -96,14 +96,16 @@
 	fl_sched_output_free(&output);
 }
 
-/* The same where the top job can expect a place on one machine, but not on the other. */
-static void a_machine_on_which_the_top_job_cannot_fit_is_not_limited(void **state)
+/*
+ * Runs a cycle on two machines with 4 free CPUs each: on the first one a task ends in 100 s, on the
+ * second one runs a service. Asserts that the lower job starts on the second one only.
+ */
+static void assert_only_second_machine_is_unlimited(struct fl_sched_job top)
 {
 	struct snapshot snapshot = {.job_count = 2, .machine_count = 2, .attempt_count = 2};
 	struct fl_sched_output output;
 
-	(void)state;
-	snapshot.jobs[0] = plain_job(8, 2, 20, 1000);
+	snapshot.jobs[0] = top;
 	snapshot.jobs[0].window_remaining_s = 0;
 	snapshot.jobs[1] = plain_job(3, 2, 300, 1);
 	for (int i = 0; i < snapshot.machine_count; i++)
@@ -118,27 +120,21 @@
 	fl_sched_output_free(&output);
 }
 
+/* The same where the top job can expect a place on one machine, but not on the other. */
+static void a_machine_on_which_the_top_job_cannot_fit_is_not_limited(void **state)
+{
+	(void)state;
+	assert_only_second_machine_is_unlimited(plain_job(8, 2, 20, 1000));
+}
+
 /* A gang in the same place: the machine has no room for any of its tasks, whatever ends. */
 static void a_machine_on_which_no_task_of_a_gang_can_fit_is_not_limited(void **state)
 {
-	struct snapshot snapshot = {.job_count = 2, .machine_count = 2, .attempt_count = 2};
-	struct fl_sched_output output;
+	struct fl_sched_job gang = plain_job(6, 2, 20, 1000);
 
 	(void)state;
-	snapshot.jobs[0] = plain_job(6, 2, 20, 1000);
-	snapshot.jobs[0].gang = true;
-	snapshot.jobs[0].window_remaining_s = 0;
-	snapshot.jobs[1] = plain_job(3, 2, 300, 1);
-	for (int i = 0; i < snapshot.machine_count; i++)
-		snapshot.machines[i] = plain_machine(4);
-	snapshot.attempts[0] = running_attempt(0, 8, 100);
-	snapshot.attempts[1] = running_service(1, 8);
-	run_schedule(&snapshot, &output);
-
-	assert_true(output.window_s <= 0);
-	assert_int_equal(output.start_count, 1);
-	assert_int_equal(output.starts[0].machine, 1);
-	fl_sched_output_free(&output);
+	gang.gang = true;
+	assert_only_second_machine_is_unlimited(gang);
 }
 
 /* A top job that waits for the end of 12 of 16 CPUs, and a job whose tasks fit but end too late. */
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -16,6 +16,7 @@
 #include "transport/coroutine.h"
 
 enum { ELECTION_STEPS = 9, JOBS_PER_STEP = 4, MACHINE_CPUS = 4, UNREACHABLE_MACHINES = 2 };
+enum { LARGE_HEARTBEAT_TASKS = 2500 };
 
 /* ---- stages ---- */
 
@@ -44,6 +45,33 @@
 }
 
 /* The restart is during an outage of the cloud: machine types are read from their record. */
+/*
+ * Guards against a machine that loses its lease because its heartbeat is large (review case 5). No
+ * leader has sent this worker its token yet, so nothing is concluded from the heartbeat.
+ */
+static bool large_heartbeats_are_answered(void)
+{
+	struct fl_buffer body = {0};
+	char text[512];
+	int answered = 0;
+
+	fl_buffer_printf(&body, "{\"Host\":\"m-999999\",\"Endpoint\":\"127.0.0.1:1\","
+	                        "\"HostKind\":\"small\",\"Site\":\"a\",\"Reclaimable\":false,"
+	                        "\"Tenure\":1,\"Serial\":1,\"Epoch\":0,\"Parts\":[");
+	for (int i = 0; i < LARGE_HEARTBEAT_TASKS; i++)
+		fl_buffer_printf(&body,
+		                 "%s{\"Part\":\"run-999998/%d\",\"Try\":1,\"Status\":\"ended\","
+		                 "\"ExitReason\":\"done\"}",
+		                 i ? "," : "", i);
+	fl_buffer_printf(&body, "]}");
+	for (int i = 0; i < CONTROLLERS; i++)
+		answered += call_running_controller(i, "POST", "/hello", body.data, text,
+		                                    sizeof(text)) == 200;
+	fl_buffer_free(&body);
+	EXPECT(answered == CONTROLLERS);
+	return true;
+}
+
 static bool all_controllers_restart_without_the_cloud(void)
 {
 	fake_services.cloud_unavailable = true;
@@ -181,7 +209,7 @@
 static bool run_stages(void)
 {
 	return malformed_requests_are_rejected() && jobs_are_accepted_and_run() &&
-	       all_controllers_restart_without_the_cloud() &&
+	       large_heartbeats_are_answered() && all_controllers_restart_without_the_cloud() &&
 	       the_leader_is_killed_during_faults() && a_cancelled_service_stops() &&
 	       all_controllers_restart_at_each_step_of_an_election() &&
 	       the_jobs_of_the_elections_finish() && unreachable_machines_are_rented() &&
