--- a/tests/fault_combinations_load.c
+++ b/tests/fault_combinations_load.c
@@ -46,6 +46,60 @@
 		inject_leader_down_within(50, 50, sim_random_between(5, 20));
 }
 
+/* An array of the lowest priority whose tasks, of `duration_s`, were estimated as `expected_s`. */
+static void make_array(struct sim_job *job, double expected_s, double duration_s)
+{
+	job->spec.kind = FL_ARRAY;
+	job->spec.priority = FL_BEST_EFFORT;
+	job->spec.expected_s = expected_s;
+	job->spec.checkpoint_every_s = 0;
+	for (int i = 0; i < SIM_JOB_TASKS; i++)
+		job->duration_s[i] = duration_s;
+}
+
+/* Services that go before arrays take the GPUs that they wait for; others need no GPU. */
+static void make_displacing_jobs(int variant)
+{
+	enum { SERVICE, ARRAY_WITH_GPU, ARRAYS };
+
+	for (int i = 0; i < sim.job_count; i++) {
+		struct sim_job *job = &sim.jobs[i];
+		int group = i % ARRAYS;
+
+		if (i >= sim.job_count / 2)
+			group = ARRAYS;
+		job->spec.gpus = group == ARRAYS ? 0 : 1;
+		job->spec.cpus = 3;
+		job->spec.ram_gb = 8;
+		job->spec.has_zone = job->spec.same_zone = job->spec.spread_zones = false;
+		job->spec.machine_type_count = -1;
+		job->cancel_s = -1;
+		if (group == SERVICE) {
+			job->spec.kind = FL_SERVICE;
+			job->spec.priority = FL_CRITICAL;
+			job->submit_s = sim_random_between(5, 50);
+		} else if (group == ARRAY_WITH_GPU) {
+			make_array(job, 20, variant % 2 ? 20 : 400);
+			job->submit_s = sim_random_between(0, 20);
+		} else {
+			make_array(job, 300, 300);
+			job->submit_s = sim_random_between(50, 60);
+		}
+		sim_job_encode_request(job);
+	}
+}
+
+/*
+ * The cloud has no more machines: services that arrive take the places that arrays wait for, or
+ * tasks run on long past their estimates.
+ */
+static void no_more_machines(int variant)
+{
+	sim.cloud_capacity = 1;
+	make_displacing_jobs(variant);
+	SIM_INJECT(FAULT_CANCEL_RUNNING, .start_s = 60, .duration_s = 1, .count = 1);
+}
+
 /* Jobs are cancelled, queried and submitted again as their last task completes. */
 static void cancel_at_completion(int variant)
 {
@@ -185,6 +239,13 @@
          .first_variant = 0,
          .variant_count = 2,
          .protects = "schedule_order.c: rank, growing weight of the waiting time"},
+	/* Guards against jobs that the backfill window holds beside machines with room. */
+	{.name = "no_more_machines",
+         .seed_name = "no_more_machines",
+         .inject_faults = no_more_machines,
+         .first_variant = 0,
+         .variant_count = 2,
+         .protects = "schedule_backfill.c: the time for which a window holds other jobs"},
 	{.name = "cancel_at_completion",
          .seed_name = "cancel_at_end",
          .inject_faults = cancel_at_completion,
