--- a/src/storage/machines.h
+++ b/src/storage/machines.h
@@ -9,6 +9,8 @@
 #include <uthash.h>
 
 #include "protocol/cloud.h"
+#include "protocol/workers.h"
+#include "storage/direct_starts.h"
 #include "storage/resources.h"
 #include "storage/symbol_table.h"
 
@@ -52,6 +54,7 @@
 	double last_received_at;        /* when the heartbeat was received */
 	int last_entry_node_index;      /* index of the node that it was sent to; 0: not known */
 	int orphan_task_count;          /* tasks in the heartbeat that no record accounts for */
+	int exited_task_count;          /* exited tasks that the worker has not forgotten */
 };
 
 /* Replies and commands to a machine, and evidence of whether they reach it. */
@@ -60,12 +63,12 @@
 	double last_reply_at;        /* time of the newest reply to a heartbeat; 0: none */
 	uint64_t last_reply_token;   /* fencing token in that reply */
 	double unacknowledged_since; /* time of the first unacknowledged reply */
-	uint64_t direct_start_token; /* highest fencing token of a direct start command; 0: none */
-	int unacknowledged_replies;  /* consecutive replies without effect in the next heartbeat */
-	bool last_reply_had_start;   /* the newest reply carried a start command */
-	bool last_reply_timed_out;   /* the worker seems to have timed out before the last reply */
-	bool command_in_flight;      /* a direct command is in flight */
-	bool command_pending;        /* a direct command has to be sent */
+	struct fl_direct_starts direct_starts; /* commands that may still arrive */
+	int unacknowledged_replies; /* consecutive replies without effect in the next heartbeat */
+	bool last_reply_had_start;  /* the newest reply carried a start command */
+	bool last_reply_timed_out;  /* the worker seems to have timed out before the last reply */
+	bool command_in_flight;     /* a direct command is in flight */
+	bool command_pending;       /* a direct command has to be sent */
 };
 
 /* Resources reserved for a waiting job; see struct fl_reservation in schedule.h. */
@@ -131,6 +134,12 @@
 /* Reverts fl_machine_add_assignment. */
 void fl_machine_remove_assignment(struct fl_machine *machine, const struct fl_job *job,
                                   uint32_t index);
+/* Returns how many more tasks may be placed on the machine: see FL_MACHINE_TASKS_MAX. */
+static inline int fl_machine_free_task_slots(const struct fl_machine *machine)
+{
+	return FL_MACHINE_TASKS_MAX - machine->assignment_count -
+	       machine->heartbeat.exited_task_count;
+}
 /* Records that the machine has the image, in place of the least recently used one if full. */
 void fl_machine_record_image(struct fl_machine *machine, int image);
 /* Returns how many tasks that need `need` each fit into `available`. */
