--- a/tests/fault_combinations_load.c
+++ b/tests/fault_combinations_load.c
@@ -60,25 +60,20 @@
 /* Services that go before arrays take the GPUs that they wait for; others need no GPU. */
 static void make_displacing_jobs(int variant)
 {
-	enum { SERVICE, ARRAY_WITH_GPU, ARRAYS };
-
 	for (int i = 0; i < sim.job_count; i++) {
 		struct sim_job *job = &sim.jobs[i];
-		int group = i % ARRAYS;
+		bool with_gpu = i < sim.job_count / 2;
 
-		if (i >= sim.job_count / 2)
-			group = ARRAYS;
-		job->spec.gpus = group == ARRAYS ? 0 : 1;
+		job->spec.gpus = with_gpu ? 1 : 0;
 		job->spec.cpus = 3;
 		job->spec.ram_gb = 8;
-		job->spec.has_zone = job->spec.same_zone = job->spec.spread_zones = false;
-		job->spec.machine_type_count = -1;
+		sim_job_remove_constraints(job);
 		job->cancel_s = -1;
-		if (group == SERVICE) {
+		if (with_gpu && i % 2 == 0) {
 			job->spec.kind = FL_SERVICE;
 			job->spec.priority = FL_CRITICAL;
 			job->submit_s = sim_random_between(5, 50);
-		} else if (group == ARRAY_WITH_GPU) {
+		} else if (with_gpu) {
 			make_array(job, 20, variant % 2 ? 20 : 400);
 			job->submit_s = sim_random_between(0, 20);
 		} else {
@@ -111,8 +106,7 @@
 	job->spec.gpus = 0;
 	job->spec.ram_gb = ram_gb;
 	job->spec.image_gb = 0.5;
-	job->spec.has_zone = job->spec.same_zone = job->spec.spread_zones = false;
-	job->spec.machine_type_count = -1;
+	sim_job_remove_constraints(job);
 	for (int i = 0; i < SIM_JOB_TASKS; i++)
 		job->duration_s[i] = sim_random_between(2, 5);
 	sim_job_encode_request(job);
@@ -188,8 +182,7 @@
 		job->spec.cpus = 2;
 		job->spec.gpus = 0;
 		job->spec.expected_s = sim_random_between(1, 6);
-		job->spec.machine_type_count = -1;
-		job->spec.has_zone = job->spec.same_zone = job->spec.spread_zones = false;
+		sim_job_remove_constraints(job);
 		job->duration_s[0] = job->spec.expected_s;
 		job->cancel_s = sim_chance(0.25) ? job->submit_s + sim_random_between(0, 9) : -1;
 		sim_job_encode_request(job);
@@ -281,8 +274,7 @@
          .first_variant = 52,
          .variant_count = 2,
          .protects = "schedule_backfill.c: windows of jobs that fit nowhere"},
-	/* Guards against a window that holds other jobs without end while its estimates are wrong.
-         */
+	/* Guards against a window that holds jobs without end while its estimates are wrong. */
 	{.name = "no_more_machines",
          .seed_name = "no_more_machines",
          .inject_faults = no_more_machines,
--- a/tests/fault_combinations_workers.c
+++ b/tests/fault_combinations_workers.c
@@ -256,8 +256,7 @@
 		job->spec.kind = FL_ARRAY;
 		job->spec.cpus = 1;
 		job->spec.gpus = 0;
-		job->spec.machine_type_count = -1;
-		job->spec.has_zone = job->spec.same_zone = job->spec.spread_zones = false;
+		sim_job_remove_constraints(job);
 		job->cancel_s = job->submit_s + sim_random_between(0.1, 1.5);
 		for (uint32_t k = 0; k < job->spec.task_count; k++)
 			job->duration_s[k] = 300;
@@ -305,8 +304,7 @@
 
 		job->spec.kind = FL_ARRAY;
 		job->spec.priority = i % 3 ? FL_BEST_EFFORT : FL_CRITICAL;
-		job->spec.machine_type_count = -1;
-		job->spec.has_zone = job->spec.same_zone = job->spec.spread_zones = false;
+		sim_job_remove_constraints(job);
 		for (uint32_t k = 0; k < job->spec.task_count; k++)
 			job->duration_s[k] = i % 2 ? sim_random_between(1, 5) : 40;
 		sim_job_encode_request(job);
@@ -349,8 +347,7 @@
 }
 
 static const struct combination combinations[] = {
-	/* Guards against an attempt that is forgotten while a copy of its start may still arrive.
-         */
+	/* Guards against forgetting an attempt while a copy of its start may still arrive. */
 	{.name = "repeated_commands",
          .seed_name = "repeated_commands",
          .inject_faults = repeated_commands,
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -142,6 +142,8 @@
 struct sim_job *sim_job_add_random(double submit_s);
 /* Encodes the submission again, after a change of the job's spec. */
 void sim_job_encode_request(struct sim_job *job);
+/* Lets the job's tasks run on machines of any type and in any zones; spot machines as before. */
+void sim_job_remove_constraints(struct sim_job *job);
 /* Returns NULL if there is no such job. */
 struct sim_job *sim_job_find(const char *ref);
 /* Returns whether any task of the job runs on a machine. */
--- a/tests/sim_jobs.c
+++ b/tests/sim_jobs.c
@@ -98,6 +98,14 @@
 	job->request_body = fl_json_print_and_delete(fl_job_spec_encode(&job->spec));
 }
 
+void sim_job_remove_constraints(struct sim_job *job)
+{
+	struct fl_job_spec *spec = &job->spec;
+
+	spec->machine_type_count = -1;
+	spec->has_zone = spec->same_zone = spec->spread_zones = false;
+}
+
 struct sim_job *sim_job_find(const char *ref)
 {
 	for (int i = 0; i < sim.job_count; i++)
--- a/tests/test_large_site.c
+++ b/tests/test_large_site.c
@@ -69,8 +69,7 @@
 	spec->gpus = 0;
 	spec->ram_gb = sim_machine_types[0].ram_gb / TASKS_PER_MACHINE;
 	spec->image_gb = 0.5;
-	spec->machine_type_count = -1;
-	spec->has_zone = spec->same_zone = spec->spread_zones = false;
+	sim_job_remove_constraints(job);
 	spec->spot_allowed = true;
 	spec->expected_s = 10 * run_duration_s;
 	spec->checkpoint_every_s = 0;
